Lay out the workspace, the shared types and the design page

Cause: the project starts; parts that are built side by side need one set of types and one page that states every requirement. Ruled out: one lessor per session. When that lessor is lost during an outage of the platform, its lessees cannot change lessor, and by rule R3 the loss spreads along the lessors. Change: nine crates, the assignment table, changes, peer, target and platform messages with a bounded codec, the platform client, design page and glossary.

--- /dev/null
+++ b/crates/config/src/deployment.rs
@@ -0,0 +1,89 @@
+//! The deployment configuration that operators declare.
+
+use std::time::Duration;
+
+/// The whole deployment configuration.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Deployment {
+    /// Services in the order of the text.
+    pub services: Vec<Service>,
+    /// Rules for all services.
+    pub rules: Rules,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Name; letters, digits, dashes and underscores.
+    pub name: String,
+    /// Path prefixes; the longest that fits decides.
+    pub paths: Vec<String>,
+    /// Where the key stands, for a service that is divided by key.
+    pub key: Option<KeySource>,
+    /// Number of shards, a power of two; 0 for a service that is not divided by key.
+    pub shards: u32,
+    /// Methods that may run at most once.
+    pub non_idempotent: Vec<String>,
+    /// Time for a request that names none.
+    pub deadline: Duration,
+    /// Whether the targets check grants themselves.
+    pub targets_check_grants: bool,
+    /// Part of the slots that long work may hold, above 0 and at most 1.
+    pub long_share: f64,
+    /// Requests that may wait for a target.
+    pub queue_length: usize,
+    /// Retries as a share of recent requests.
+    pub retry_budget: f64,
+    /// Part of the targets that may be ejected at once.
+    pub max_ejected: f64,
+}
+
+/// Where a request carries its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeySource {
+    /// Segment of the path, counted from 1.
+    Path(usize),
+    /// Parameter of the query.
+    Query(String),
+    /// Header, in lower case.
+    Header(String),
+}
+
+/// Rules for all services.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rules {
+    /// Targets of one service that may be draining or away by command at once.
+    pub max_draining: usize,
+    /// Shards that the planner moves in one round.
+    pub moves_per_round: usize,
+    /// Excess of the busiest target over the mean below which the planner moves nothing.
+    pub imbalance_tolerance: f64,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            paths: Vec::new(),
+            key: None,
+            shards: 0,
+            non_idempotent: vec!["POST".into(), "PATCH".into()],
+            deadline: Duration::from_secs(2),
+            targets_check_grants: false,
+            long_share: 0.5,
+            queue_length: 200,
+            retry_budget: 0.1,
+            max_ejected: 0.34,
+        }
+    }
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            max_draining: 1,
+            moves_per_round: 4,
+            imbalance_tolerance: 0.15,
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Deployment configuration: services, the keys they own, and rules of spread.
+
+pub mod deployment;
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,9 @@
+//! Request policy: the pure decisions of the request path.
+//!
+//! Nothing here performs I/O, reads a clock or starts a task. Every function takes the current
+//! time as a [`Duration`](std::time::Duration) since boot, so that the daemon, the load tool and
+//! the tests run the same code.
+
+pub mod verdict;
+
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,88 @@
+//! Length-prefixed bincode frames.
+//!
+//! Frame: 4 bytes big-endian length of the message, then the message in bincode's standard
+//! configuration. A frame never exceeds [`MAX_FRAME_BYTES`].
+
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest message in bytes. A whole table of 65,536 shards and 480 sessions stays below it.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// Bytes of the length prefix.
+pub const PREFIX_BYTES: usize = 4;
+
+/// Why a frame cannot be read or written.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// message of {0} bytes exceeds the limit of 1048576 bytes
+    TooLong(usize),
+    /// malformed message: {0}
+    Malformed(String),
+    /// {0} bytes left over after the message
+    TrailingBytes(usize),
+}
+
+impl std::error::Error for Error {}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Encodes a message with its length prefix.
+///
+/// # Errors
+///
+/// [`Error::TooLong`] when the message exceeds [`MAX_FRAME_BYTES`].
+pub fn encode<M: Serialize>(message: &M) -> Result<Bytes> {
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    if body.len() > MAX_FRAME_BYTES {
+        return Err(Error::TooLong(body.len()));
+    }
+    let mut frame = Vec::with_capacity(PREFIX_BYTES + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame.into())
+}
+
+/// Takes one message off the front of `buf`.
+///
+/// Returns `None` and leaves `buf` as it is while the frame is incomplete.
+///
+/// # Errors
+///
+/// [`Error::TooLong`] from the prefix alone, before any of the message is kept;
+/// [`Error::Malformed`] and [`Error::TrailingBytes`] when the bytes are not one message.
+pub fn decode<M: DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<M>> {
+    let Some(prefix) = buf.first_chunk::<PREFIX_BYTES>() else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes(*prefix) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(Error::TooLong(length));
+    }
+    if buf.len() < PREFIX_BYTES + length {
+        return Ok(None);
+    }
+    buf.advance(PREFIX_BYTES);
+    let body = buf.split_to(length);
+    decode_body(&body).map(Some)
+}
+
+/// Decodes a message without its prefix.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn decode_body<M: DeserializeOwned>(body: &[u8]) -> Result<M> {
+    // The limit bounds allocations that a forged length inside the message could ask for.
+    let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+    let (message, used) = bincode::serde::decode_from_slice(body, config)
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    if used != body.len() {
+        return Err(Error::TrailingBytes(body.len() - used));
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,260 @@
+//! Messages between daemons.
+
+use masticdeal_ownership::change::Delta;
+use masticdeal_ownership::ids::{Epoch, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::table::Table;
+use masticdeal_policy::Verdict;
+use serde::{Deserialize, Serialize};
+
+/// Versions that the sender holds. Whoever is behind pulls from the other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// Version of the assignment table.
+    pub table: u64,
+    /// Revision of the deployment configuration.
+    pub config: u64,
+}
+
+/// Asks the lessor to renew the sender's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renew {
+    /// The lessee.
+    pub session: SessionId,
+    /// The lessee's term in its newest table.
+    pub term: u32,
+    /// The lessor that this request is meant for.
+    pub lessor: SessionId,
+    /// Numbers the lessee's requests; the reply repeats it.
+    pub sequence: u64,
+    /// What the lessee holds.
+    pub versions: Versions,
+}
+
+/// Answers [`Renew`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewReply {
+    /// Sequence of the request.
+    pub sequence: u64,
+    /// Whether the lease is renewed.
+    pub granted: bool,
+    /// What the lessor holds.
+    pub versions: Versions,
+}
+
+/// Asks the other lessor whether it has counted a lessee out as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expired {
+    /// The session that asks.
+    pub from: SessionId,
+    /// The lessee.
+    pub lessee: SessionId,
+    /// The lessee's term in the sender's newest table.
+    pub term: u32,
+    /// What the sender holds.
+    pub versions: Versions,
+}
+
+/// Answers [`Expired`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpiredReply {
+    /// Whether the sender has counted the lessee out and grants it nothing more in this term.
+    pub committed: bool,
+    /// What the sender holds.
+    pub versions: Versions,
+}
+
+/// Asks for everything newer than the sender's versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// What the sender holds.
+    pub have: Versions,
+}
+
+/// News of the table and the configuration: the answer to [`Pull`], and the message of the
+/// dissemination tree.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Root of the dissemination tree; `None` in an answer to a pull.
+    pub origin: Option<SessionId>,
+    /// Consecutive deltas, oldest first; empty when `table` is set or nothing is newer.
+    pub deltas: Vec<Delta>,
+    /// The whole table, when the sender no longer holds the deltas that are asked for.
+    pub table: Option<Table>,
+    /// A newer configuration.
+    pub config: Option<ConfigValue>,
+}
+
+/// The deployment configuration as it is stored and passed on.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigValue {
+    /// Rises by one with each accepted change.
+    pub revision: u64,
+    /// Who made the change, as the tool reported it.
+    pub author: String,
+    /// Unix time of the change in milliseconds.
+    pub time_ms: u64,
+    /// Names the attempt.
+    pub change_id: u64,
+    /// The INI text.
+    pub text: String,
+}
+
+/// Asks an owner to release a shard, so that it can be moved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The service.
+    pub service: ServiceId,
+    /// The shard.
+    pub shard: ShardId,
+    /// The epoch under which the owner holds it.
+    pub epoch: Epoch,
+    /// The session that is to own it next.
+    pub to: SessionId,
+}
+
+/// Answers [`Release`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReleaseReply {
+    /// The owner no longer serves the shard under that epoch.
+    Released,
+    /// The owner does not hold the shard under that epoch.
+    NotOwner,
+    /// Running work did not finish in time; the owner goes on serving.
+    Busy,
+}
+
+/// Head of a forwarded request. The body of the request follows in the same stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    /// The service.
+    pub service: ServiceId,
+    /// The shard, for a service that is divided by key.
+    pub shard: Option<ShardId>,
+    /// xxh3 hash of the key, for a service that is divided by key.
+    pub key_hash: Option<u64>,
+    /// Method of the request.
+    pub method: String,
+    /// Path and query of the request.
+    pub path: String,
+    /// End-to-end headers of the request, in order.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Remaining time in milliseconds when the message was written.
+    pub deadline_ms: u32,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Identifier of the request.
+    pub request_id: String,
+    /// W3C trace context of the sender's span.
+    pub traceparent: String,
+    /// What the sender holds.
+    pub versions: Versions,
+}
+
+/// Head of the answer to [`Forward`]. The body of the target's answer follows in the same stream;
+/// the stream ends without a reset only when the body is whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The target answered.
+    Answer {
+        /// Status of the answer.
+        status: u16,
+        /// End-to-end headers of the answer, in order.
+        headers: Vec<(String, Vec<u8>)>,
+        /// Load of the target after this request.
+        load: LoadHint,
+    },
+    /// There is no answer of the target.
+    Failed {
+        /// What is known about the execution.
+        verdict: Verdict,
+        /// Why it failed.
+        reason: Reason,
+        /// When a retry may succeed, in milliseconds.
+        retry_after_ms: Option<u32>,
+        /// What the owner's daemon holds.
+        versions: Versions,
+        /// Load of the target.
+        load: LoadHint,
+    },
+}
+
+/// Load of the target beside a daemon, as that daemon counts it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadHint {
+    /// Requests running at the target.
+    pub running: u16,
+    /// Requests in the queue.
+    pub queued: u16,
+    /// Smoothed service time in microseconds.
+    pub service_us: u32,
+}
+
+/// Why a request has no answer of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// No service has the path.
+    NoService,
+    /// The request carries no key, and the service is divided by key.
+    NoKey,
+    /// Nobody owns the shard at the moment.
+    NoOwner,
+    /// No target of the service takes work.
+    NoTarget,
+    /// The daemon does not own the shard in its newest table.
+    WrongOwner,
+    /// The owner's lease has run out.
+    LeaseExpired,
+    /// The shard is being moved.
+    Moving,
+    /// The queue is full.
+    QueueFull,
+    /// The deadline cannot be met, or has passed.
+    Deadline,
+    /// The target refused the work.
+    TargetRefused,
+    /// The target is leaving or not ready.
+    TargetAway,
+    /// The connection to the target failed.
+    TargetFailed,
+    /// The connection to the owner's daemon failed.
+    PeerFailed,
+    /// The connection went silent.
+    Silent,
+    /// The caller went away.
+    Cancelled,
+    /// A bound of the settings is exceeded.
+    TooLarge,
+    /// The message is malformed.
+    Malformed,
+    /// The daemon is shutting down.
+    ShuttingDown,
+    /// The retry budget is spent.
+    RetryBudget,
+}
+
+impl Reason {
+    /// Returns the text of the reason header and of metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoService => "no-service",
+            Self::NoKey => "no-key",
+            Self::NoOwner => "no-owner",
+            Self::NoTarget => "no-target",
+            Self::WrongOwner => "wrong-owner",
+            Self::LeaseExpired => "lease-expired",
+            Self::Moving => "moving",
+            Self::QueueFull => "queue-full",
+            Self::Deadline => "deadline",
+            Self::TargetRefused => "target-refused",
+            Self::TargetAway => "target-away",
+            Self::TargetFailed => "target-failed",
+            Self::PeerFailed => "peer-failed",
+            Self::Silent => "silent-connection",
+            Self::Cancelled => "cancelled",
+            Self::TooLarge => "too-large",
+            Self::Malformed => "malformed",
+            Self::ShuttingDown => "shutting-down",
+            Self::RetryBudget => "retry-budget",
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/target.rs
@@ -0,0 +1,52 @@
+//! Messages between a daemon and the target beside it, as JSON bodies.
+
+use serde::{Deserialize, Serialize};
+
+/// A target's announcement to the daemon beside it, sent about once a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announce {
+    /// Name of the service.
+    pub service: String,
+    /// `ip:port` of the target's own port.
+    pub address: std::net::SocketAddr,
+    /// Requests that the target runs at once; at least 1.
+    pub slots: u16,
+    /// Whether the target refuses requests without a current grant.
+    pub checks_grants: bool,
+    /// Whether the target takes work.
+    pub state: AnnouncedState,
+    /// Load as the target reports it, 1.0 meaning that all slots are busy. A hint only.
+    #[serde(default)]
+    pub load: Option<f32>,
+}
+
+/// State in an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum AnnouncedState {
+    /// Not ready for work yet.
+    Starting,
+    /// Takes work.
+    Ready,
+    /// Takes no new work.
+    Draining,
+}
+
+/// A grant of the daemon to its target. It replaces the one before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Grant {
+    /// The daemon's session.
+    pub session: u32,
+    /// Rises with each grant of a session; the target refuses a lower one.
+    pub sequence: u64,
+    /// End of the grant, in milliseconds of the VM's boot-time clock. An instant and not a time
+    /// to live: a daemon paused between writing and sending hands out no time that has passed.
+    pub until_boot_ms: u64,
+    /// Shard and epoch of everything that the target may run; empty revokes.
+    pub shards: Vec<(u32, u32)>,
+    /// Key hash and epoch of single keys that the target may run.
+    #[serde(default)]
+    pub keys: Vec<(u64, u32)>,
+}
