Add the daemon's settings, clock and shared state

Cause: the request path and the control plane are built side by side and meet in one struct. Change: settings with defaults, a boot-time clock interface, and a node that publishes table, configuration, target and session through watch channels.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,3 +1,4 @@
 //! Deployment configuration: services, the keys they own, and rules of spread.
 
 pub mod deployment;
+pub mod settings;
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,182 @@
+//! Settings of one daemon, read from an INI file at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// All settings of one daemon.
+#[derive(Debug, Clone, Default)]
+pub struct Settings {
+    /// Section `[daemon]`.
+    pub daemon: Daemon,
+    /// Section `[listen]`.
+    pub listen: Listen,
+    /// Section `[platform]`.
+    pub platform: Platform,
+    /// Section `[lease]`.
+    pub lease: Lease,
+    /// Section `[limits]`.
+    pub limits: Limits,
+    /// Section `[secret]`.
+    pub secret: Secret,
+    /// Section `[log]`.
+    pub log: Log,
+}
+
+/// Who the daemon is.
+#[derive(Debug, Clone)]
+pub struct Daemon {
+    /// Name of the VM.
+    pub name: String,
+    /// Region of the VM.
+    pub region: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Longest time that a drain waits for running requests.
+    pub drain: Duration,
+}
+
+/// Ports of the daemon.
+#[derive(Debug, Clone)]
+pub struct Listen {
+    /// Callers' port.
+    pub callers: SocketAddr,
+    /// Peers' port.
+    pub peers: SocketAddr,
+    /// Address that other daemons use for the peers' port, when it differs.
+    pub peers_advertised: Option<SocketAddr>,
+    /// Operators' port.
+    pub operators: SocketAddr,
+    /// Port on which the target beside the daemon announces itself; a loopback address.
+    pub announce: SocketAddr,
+}
+
+/// The platform's key-value service.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Address of the service.
+    pub address: SocketAddr,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+}
+
+/// Timing of the peer lease.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    /// Length of a lease.
+    pub length: Duration,
+    /// Time between two renewals; at most a third of the length.
+    pub renew: Duration,
+    /// Largest difference in rate between two VMs' clocks, in parts per million.
+    pub drift_ppm: u32,
+    /// Further wait of a new owner after an unplanned loss, for targets that do not check grants.
+    pub settle: Duration,
+}
+
+/// Bounds on what others may ask of the daemon.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Largest sum of header names and values of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Upper bound of every service's queue length.
+    pub queue_length: usize,
+    /// Connections of callers.
+    pub connections: usize,
+    /// Requests of callers in progress.
+    pub requests: usize,
+    /// Time after which a connection with requests outstanding and no frame is pinged.
+    pub ping_after: Duration,
+    /// Time to wait for the answer to a ping before the connection is retired.
+    pub ping_timeout: Duration,
+}
+
+/// Shared secrets. [`std::fmt::Debug`] prints neither.
+#[derive(Clone, Default)]
+pub struct Secret {
+    /// Secret of the daemons.
+    pub peers: String,
+    /// Secret of the operators.
+    pub operators: String,
+}
+
+/// Logging.
+#[derive(Debug, Clone)]
+pub struct Log {
+    /// Level for all modules without one of their own.
+    pub level: String,
+    /// Module path and level.
+    pub modules: Vec<(String, String)>,
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Default for Daemon {
+    fn default() -> Self {
+        Self {
+            name: "vm-1".into(),
+            region: "local".into(),
+            data_centre: "dc-a".into(),
+            drain: Duration::from_secs(120),
+        }
+    }
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        Self {
+            callers: SocketAddr::from(([127, 0, 0, 1], 7000)),
+            peers: SocketAddr::from(([127, 0, 0, 1], 7001)),
+            peers_advertised: None,
+            operators: SocketAddr::from(([127, 0, 0, 1], 7002)),
+            announce: SocketAddr::from(([127, 0, 0, 1], 7003)),
+        }
+    }
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 7100)),
+            timeout: Duration::from_millis(500),
+        }
+    }
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Self {
+            length: Duration::from_millis(450),
+            renew: Duration::from_millis(150),
+            drift_ppm: 20_000,
+            settle: Duration::from_millis(100),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 32 << 10,
+            max_body_bytes: 64 << 20,
+            queue_length: 1_000,
+            connections: 4_096,
+            requests: 8_192,
+            ping_after: Duration::from_millis(300),
+            ping_timeout: Duration::from_millis(300),
+        }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".into(),
+            modules: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,80 @@
+//! What all parts of the daemon share: settings, the clock, and the newest table, configuration
+//! and target.
+//!
+//! The control plane publishes; the request path reads. A reader takes the current value once per
+//! request and works on that copy.
+
+use std::sync::Arc;
+
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::settings::Settings;
+use masticdeal_ownership::ids::{Epoch, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::table::Table;
+use masticdeal_wire::peer::{Reason, Versions};
+use masticdeal_wire::target::Announce;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+
+/// Decides whether this daemon may serve a shard, or a single key of it, at this moment.
+///
+/// The control plane supplies it. It is called again after every await that precedes an effect.
+pub type MayServe =
+    Box<dyn Fn(ServiceId, ShardId, u64) -> Result<Epoch, Reason> + Send + Sync + 'static>;
+
+/// Shared state of the daemon.
+pub struct Node {
+    /// Settings, checked at start.
+    pub settings: Settings,
+    /// Boot-time clock.
+    pub clock: Arc<dyn Clock>,
+    /// Newest assignment table.
+    pub table: watch::Sender<Arc<Table>>,
+    /// Newest deployment configuration and its revision.
+    pub deployment: watch::Sender<(u64, Arc<Deployment>)>,
+    /// Last announcement of the target beside the daemon; `None` while it is silent.
+    pub target: watch::Sender<Option<Announce>>,
+    /// Session of this daemon, once it has joined.
+    pub session: watch::Sender<Option<SessionId>>,
+    /// Newest versions that a peer reported; the control plane pulls when it is behind.
+    pub reported: watch::Sender<Versions>,
+    /// Whether the daemon is shutting down and takes nothing new.
+    pub draining: watch::Sender<bool>,
+    /// Ownership decision of the control plane.
+    pub may_serve: MayServe,
+}
+
+impl Node {
+    /// Makes the shared state with an empty table and configuration.
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>, may_serve: MayServe) -> Self {
+        Self {
+            settings,
+            clock,
+            table: watch::Sender::new(Arc::default()),
+            deployment: watch::Sender::new((0, Arc::default())),
+            target: watch::Sender::new(None),
+            session: watch::Sender::new(None),
+            reported: watch::Sender::new(Versions::default()),
+            draining: watch::Sender::new(false),
+            may_serve,
+        }
+    }
+
+    /// Returns the versions that this daemon holds.
+    pub fn versions(&self) -> Versions {
+        Versions {
+            table: self.table.borrow().version,
+            config: self.deployment.borrow().0,
+        }
+    }
+
+    /// Records versions that a peer reported.
+    pub fn report(&self, versions: Versions) {
+        self.reported.send_if_modified(|known| {
+            let newer = versions.table > known.table || versions.config > known.config;
+            known.table = known.table.max(versions.table);
+            known.config = known.config.max(versions.config);
+            newer
+        });
+    }
+}
