Add the dissemination tree and the history of deltas

Cause: a daemon has to pass table changes on without a platform call for each of 480 daemons. Ruled out: a watch per daemon (the platform counts each), and gossip (no bound on the last one).

--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,5 +10,7 @@
 //! - an epoch of a shard is never used twice.
 
 pub mod change;
+pub mod history;
 pub mod ids;
 pub mod table;
+pub mod tree;
