Add the request policy's decisions as pure code

Cause: the request path needs queueing, admission, balancing, retries, ejection and drain decided in one place, without I/O or a clock.

Change: cost classes learned per path shape, the owner's queue with its verifier, the limit of running requests, the balancer with selectable baselines, the ejector, the retry budget, deadlines and the drain chart.

--- /dev/null
+++ b/crates/policy/src/balance.rs
@@ -0,0 +1,332 @@
+//! Choice of a target among those of a service that is not divided by key.
+//!
+//! The policy draws two targets at random and takes the one with the smaller score: outstanding
+//! requests times smoothed latency, both measured here. Two draws avoid the herd that a full scan
+//! by many daemons makes, and need no shared state.
+//!
+//! Invariant: a reported load changes a score by at most the factor [`HINT_WEIGHT`] allows, so a
+//! target whose own score is worse by more than that never wins through its report.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Most that a reported load adds to a score, as a part of it.
+pub const HINT_WEIGHT: f64 = 0.25;
+
+/// Draws after which a cold target is taken although its ramp says otherwise.
+const COLD_DRAWS: usize = 8;
+
+/// Part of its traffic that a target receives when its ramp begins.
+const COLD_START: f64 = 0.05;
+
+/// Latency in seconds that is assumed before any target was measured.
+const UNKNOWN_LATENCY: f64 = 0.01;
+
+/// Dense index of a target within its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TargetIx(pub u32);
+
+/// How a target is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// Better of two random targets by outstanding requests times smoothed latency.
+    TwoChoices,
+    /// Uniformly at random (baseline).
+    Random,
+    /// In turn (baseline).
+    RoundRobin,
+    /// Fewest outstanding requests (baseline).
+    LeastOutstanding,
+    /// Lowest reported load (baseline that trusts the targets).
+    LowestReport,
+}
+
+/// Settings of the balancer.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How a target is chosen.
+    pub policy: Policy,
+    /// Weight of a new latency sample, above 0 and at most 1.
+    pub smoothing: f64,
+    /// Time in which an estimate without new samples moves most of the way to the mean of all
+    /// targets, so that a target that was slow once is tried again.
+    pub forget: Duration,
+    /// Age at which a reported load counts for nothing.
+    pub hint_age: Duration,
+    /// Time over which a cold target ramps up to its full part of the traffic.
+    pub ramp: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            policy: Policy::TwoChoices,
+            smoothing: 0.1,
+            forget: Duration::from_secs(5),
+            hint_age: Duration::from_secs(3),
+            ramp: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Balancer of one service.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    targets: Vec<Target>,
+    next: usize,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Target {
+    present: bool,
+    outstanding: u32,
+    /// Sum of the start times of the outstanding requests, in seconds.
+    started: f64,
+    /// Smoothed latency in seconds and the time of its last sample.
+    latency: Option<(f64, Duration)>,
+    /// Reported load, 0 to 1, and when it came.
+    report: Option<(f64, Duration)>,
+    cold_since: Option<Duration>,
+}
+
+/// A request that was sent to a target, given back with [`Balancer::finish`].
+#[derive(Debug)]
+#[must_use = "a sent request that is not finished counts as outstanding for good"]
+pub struct Sent {
+    target: TargetIx,
+    at: Duration,
+}
+
+impl Sent {
+    /// Returns the target that the request went to.
+    pub fn target(&self) -> TargetIx {
+        self.target
+    }
+}
+
+impl Balancer {
+    /// Makes a balancer without targets.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            targets: Vec::new(),
+            next: 0,
+        }
+    }
+
+    /// Adds a target, or brings it back. A cold target ramps up.
+    pub fn add(&mut self, now: Duration, target: TargetIx, cold: bool) {
+        let at = target.0 as usize;
+        if at >= self.targets.len() {
+            self.targets.resize_with(at + 1, Target::default);
+        }
+        let entry = &mut self.targets[at];
+        entry.present = true;
+        if cold {
+            entry.cold_since = Some(now);
+            entry.latency = None;
+        }
+    }
+
+    /// Takes a target out of the choice. Its outstanding requests still finish.
+    pub fn remove(&mut self, target: TargetIx) {
+        if let Some(entry) = self.targets.get_mut(target.0 as usize) {
+            entry.present = false;
+        }
+    }
+
+    /// Takes a reported load, 0 (idle) to 1 (all slots busy).
+    pub fn report(&mut self, now: Duration, target: TargetIx, load: f64) {
+        if let Some(entry) = self.targets.get_mut(target.0 as usize) {
+            let load = if load.is_nan() { 0.0 } else { load };
+            entry.report = Some((load.clamp(0.0, 1.0), now));
+        }
+    }
+
+    /// Chooses a target; `None` when there is none.
+    pub fn choose(&mut self, now: Duration, rng: &mut impl Rng) -> Option<TargetIx> {
+        self.choose_among(now, rng, |_| true)
+    }
+
+    /// Chooses among the targets that `allowed` accepts, such as those not ejected.
+    pub fn choose_among(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        allowed: impl Fn(TargetIx) -> bool,
+    ) -> Option<TargetIx> {
+        let all = (0..self.targets.len() as u32).map(TargetIx);
+        let open = |ix: &TargetIx| self.target(*ix).present && allowed(*ix);
+        let open: Vec<TargetIx> = all.filter(open).collect();
+        match (open.len(), self.settings.policy) {
+            (0, _) => None,
+            (1, _) => Some(open[0]),
+            (n, Policy::Random) => Some(open[rng.random_range(0..n)]),
+            (_, Policy::RoundRobin) => Some(self.in_turn(&open)),
+            (_, Policy::LeastOutstanding) => self.least(&open, rng, |t| f64::from(t.outstanding)),
+            (_, Policy::LowestReport) => self.least(&open, rng, |t| t.report.map_or(0.0, |r| r.0)),
+            (_, Policy::TwoChoices) => Some(self.better_of_two(now, &open, rng)),
+        }
+    }
+
+    /// Records that a request goes to a target.
+    pub fn start(&mut self, now: Duration, target: TargetIx) -> Sent {
+        if let Some(entry) = self.targets.get_mut(target.0 as usize) {
+            entry.outstanding += 1;
+            entry.started += now.as_secs_f64();
+        }
+        Sent { target, at: now }
+    }
+
+    /// Records the end of a request. `answered` is false when it failed or was cancelled: its time
+    /// then can only raise the estimate, since a target that fails fast is not a fast target.
+    pub fn finish(&mut self, now: Duration, sent: Sent, answered: bool) {
+        let smoothing = self.settings.smoothing;
+        let Some(entry) = self.targets.get_mut(sent.target.0 as usize) else {
+            return;
+        };
+        entry.outstanding = entry.outstanding.saturating_sub(1);
+        entry.started -= sent.at.as_secs_f64();
+        let sample = now.saturating_sub(sent.at).as_secs_f64();
+        let (mean, _) = entry.latency.unwrap_or((sample, now));
+        if answered || sample > mean {
+            entry.latency = Some((mean + smoothing * (sample - mean), now));
+        }
+    }
+
+    /// Returns the requests outstanding at a target.
+    pub fn outstanding(&self, target: TargetIx) -> u32 {
+        let entry = self.targets.get(target.0 as usize);
+        entry.map_or(0, |entry| entry.outstanding)
+    }
+
+    /// Returns the score of a target, in seconds, from own measurements only.
+    pub fn own_score(&self, now: Duration, target: TargetIx) -> f64 {
+        self.score_of(self.target(target), now, self.mean_latency())
+    }
+
+    fn target(&self, ix: TargetIx) -> &Target {
+        &self.targets[ix.0 as usize]
+    }
+
+    fn in_turn(&mut self, open: &[TargetIx]) -> TargetIx {
+        self.next = self.next.wrapping_add(1);
+        open[self.next % open.len()]
+    }
+
+    /// Returns the target with the smallest value, a random one among equals.
+    fn least(
+        &self,
+        open: &[TargetIx],
+        rng: &mut impl Rng,
+        value: impl Fn(&Target) -> f64,
+    ) -> Option<TargetIx> {
+        let from = rng.random_range(0..open.len());
+        let (before, after) = open.split_at(from);
+        let turned = after.iter().chain(before).copied();
+        turned.min_by(|a, b| value(self.target(*a)).total_cmp(&value(self.target(*b))))
+    }
+
+    fn better_of_two(&self, now: Duration, open: &[TargetIx], rng: &mut impl Rng) -> TargetIx {
+        let mean = self.mean_latency();
+        let first = self.draw(now, open, None, rng);
+        let second = self.draw(now, open, Some(first), rng);
+        let score = |ix| {
+            let target = self.target(ix);
+            self.score_of(target, now, mean) * self.hint(target, now)
+        };
+        if score(second) < score(first) {
+            second
+        } else {
+            first
+        }
+    }
+
+    /// Draws a target other than `not`. A cold target is passed over with a probability that falls
+    /// along its ramp; by score alone it would get nothing while the others are idle, or everything.
+    fn draw(
+        &self,
+        now: Duration,
+        open: &[TargetIx],
+        not: Option<TargetIx>,
+        rng: &mut impl Rng,
+    ) -> TargetIx {
+        let mut drawn = open[0];
+        for _ in 0..COLD_DRAWS {
+            drawn = draw_other(open, not, rng);
+            if rng.random::<f64>() < self.warmth(self.target(drawn), now) {
+                break;
+            }
+        }
+        drawn
+    }
+
+    /// Returns the part of its traffic that a target takes, 1 when it is warm.
+    fn warmth(&self, target: &Target, now: Duration) -> f64 {
+        let Some(since) = target.cold_since else {
+            return 1.0;
+        };
+        let ramp = self.settings.ramp.as_secs_f64();
+        let passed = now.saturating_sub(since).as_secs_f64();
+        if passed >= ramp {
+            return 1.0;
+        }
+        (passed / ramp).max(COLD_START)
+    }
+
+    fn score_of(&self, target: &Target, now: Duration, mean: f64) -> f64 {
+        f64::from(target.outstanding + 1) * self.latency_of(target, now, mean)
+    }
+
+    /// Returns the latency to reckon with, in seconds.
+    ///
+    /// The mean age of the outstanding requests is a lower bound that needs no answer, so that a
+    /// frozen target gets worse although it yields no samples.
+    fn latency_of(&self, target: &Target, now: Duration, mean: f64) -> f64 {
+        let smoothed = match target.latency {
+            Some((latency, at)) => {
+                let age = now.saturating_sub(at).as_secs_f64();
+                let kept = (-age / self.settings.forget.as_secs_f64()).exp();
+                mean + (latency - mean) * kept
+            }
+            None => mean,
+        };
+        if target.outstanding == 0 {
+            return smoothed;
+        }
+        let mean_start = target.started / f64::from(target.outstanding);
+        smoothed.max(now.as_secs_f64() - mean_start)
+    }
+
+    /// Returns the mean smoothed latency of the present targets, in seconds.
+    fn mean_latency(&self) -> f64 {
+        let present = self.targets.iter().filter(|t| t.present);
+        let known: Vec<f64> = present.filter_map(|t| t.latency.map(|l| l.0)).collect();
+        if known.is_empty() {
+            return UNKNOWN_LATENCY;
+        }
+        known.iter().sum::<f64>() / known.len() as f64
+    }
+
+    /// Returns the factor that a reported load puts on a score, from 1 to 1 + [`HINT_WEIGHT`].
+    fn hint(&self, target: &Target, now: Duration) -> f64 {
+        let Some((load, at)) = target.report else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        let fresh = (1.0 - age / self.settings.hint_age.as_secs_f64()).max(0.0);
+        1.0 + HINT_WEIGHT * load * fresh
+    }
+}
+
+/// Draws one of `open` other than `not`.
+fn draw_other(open: &[TargetIx], not: Option<TargetIx>, rng: &mut impl Rng) -> TargetIx {
+    let skipped = not.and_then(|not| open.iter().position(|ix| *ix == not));
+    let Some(skipped) = skipped.filter(|_| open.len() > 1) else {
+        return open[rng.random_range(0..open.len())];
+    };
+    let at = rng.random_range(0..open.len() - 1);
+    open[if at >= skipped { at + 1 } else { at }]
+}
--- /dev/null
+++ b/crates/policy/src/deadline.rs
@@ -0,0 +1,74 @@
+//! Deadlines: the instant after which an answer is of no use to the caller.
+//!
+//! Between hops a deadline travels as remaining time, since VMs share no clock. Each hop takes off
+//! what it needs itself, so that the remaining time never grows on the way.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+/// Result of this module.
+pub type Result<T, E = Late> = std::result::Result<T, E>;
+
+/// the deadline of the request has passed
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub struct Late;
+
+impl std::error::Error for Late {}
+
+/// Instant, as time since boot, by which the caller needs the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Deadline(Duration);
+
+impl Deadline {
+    /// Makes the deadline of a request that arrives now.
+    ///
+    /// `asked` is the remaining time that the caller or the hop before named. `allowed` is the
+    /// service's own deadline, which is the default and the upper bound.
+    pub fn new(now: Duration, asked: Option<Duration>, allowed: Duration) -> Self {
+        let remaining = asked.unwrap_or(allowed).min(allowed);
+        Self(now.saturating_add(remaining))
+    }
+
+    /// Returns the deadline as time since boot.
+    pub fn instant(self) -> Duration {
+        self.0
+    }
+
+    /// Returns the time that is left.
+    ///
+    /// # Errors
+    ///
+    /// [`Late`] when nothing is left.
+    pub fn remaining(self, now: Duration) -> Result<Duration> {
+        match self.0.saturating_sub(now) {
+            Duration::ZERO => Err(Late),
+            left => Ok(left),
+        }
+    }
+
+    /// Returns the time to hand to the next hop: what is left without `reserve`, the time that the
+    /// way back takes.
+    ///
+    /// # Errors
+    ///
+    /// [`Late`] when nothing is left for the next hop.
+    pub fn for_next_hop(self, now: Duration, reserve: Duration) -> Result<Duration> {
+        match self.remaining(now)?.saturating_sub(reserve) {
+            Duration::ZERO => Err(Late),
+            left => Ok(left),
+        }
+    }
+}
+
+/// Parses the value of the deadline header, in whole milliseconds. Returns `None` for other text.
+pub fn parse_header(text: &str) -> Option<Duration> {
+    let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    let ms = digits.then(|| text.parse().ok())??;
+    Some(Duration::from_millis(ms))
+}
+
+/// Returns the value of the deadline header, in whole milliseconds and rounded down.
+pub fn header_value(remaining: Duration) -> u64 {
+    u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,17 @@
 //! time as a [`Duration`](std::time::Duration) since boot, so that the daemon, the load tool and
 //! the tests run the same code.
 
+pub mod balance;
+pub mod classes;
+pub mod deadline;
+pub mod drain;
+pub mod eject;
+pub mod limit;
+pub mod outcome;
+pub mod queue;
+pub mod retry;
+pub mod shape;
 pub mod verdict;
 
+pub use outcome::Outcome;
 pub use verdict::Verdict;
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,344 @@
+//! The owner's queue in front of one target.
+//!
+//! At most as many requests run as the [`Limit`] allows. Long work holds only its share of the
+//! slots; short work goes first, and long work that has waited its time goes before it. Admission
+//! refuses what cannot meet its deadline at once, so that the caller can still do something else
+//! and the target does no work that nobody waits for.
+//!
+//! Invariants, checked by [`verify`] after each step in debug builds: never more requests run than
+//! slots are allowed; long work holds at most its share when it starts; every admitted request is
+//! waiting, running, refused, cancelled or finished, and exactly one of these. A refused request
+//! was never handed out, so its verdict is always `NotRun`.
+
+mod estimate;
+mod lanes;
+mod types;
+mod verify;
+
+use std::time::Duration;
+
+use crate::classes::{Classes, Cost, ShapeId};
+use crate::limit::Limit;
+use lanes::{Entry, Lanes};
+
+pub use types::{
+    Cancelled, Order, Permit, Reason, Refusal, Refused, Result, Settings, Ticket, TicketId,
+};
+pub use verify::{Violation, verify};
+
+/// Longest and shortest advice of when to try again.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(30));
+
+/// Weight of a new sample in the smoothed service time of a class.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Queue in front of one target; `T` is what the owner keeps per request.
+#[derive(Debug)]
+pub struct Queue<T> {
+    settings: Settings,
+    limit: Limit,
+    lanes: Lanes<T>,
+    running: Vec<Running>,
+    /// Admitted requests that were refused later, until the owner takes them.
+    refused: Vec<Refused<T>>,
+    /// Running time above which a request counts as long.
+    short_bound: Option<Duration>,
+    /// Smoothed service times by class, in seconds.
+    means: [Option<f64>; 2],
+    /// Set while draining: until when queued requests may still start.
+    start_until: Option<Duration>,
+    next_id: u64,
+    counts: Counts,
+}
+
+/// A request that holds a slot.
+#[derive(Debug, Clone)]
+struct Running {
+    id: TicketId,
+    cost: Cost,
+    shape: Option<ShapeId>,
+    started: Duration,
+    expected: Duration,
+}
+
+/// What became of the admitted requests, for the verifier.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    admitted: u64,
+    refused: u64,
+    cancelled: u64,
+    finished: u64,
+    /// Most requests that may run: the limit, or what ran when it was lowered.
+    allowed: usize,
+    /// Most long requests that may run, by the same rule.
+    allowed_long: usize,
+}
+
+impl<T> Queue<T> {
+    /// Makes an empty queue.
+    pub fn new(settings: Settings, limit: Limit) -> Self {
+        Self {
+            lanes: Lanes::new(settings.order),
+            settings,
+            limit,
+            running: Vec::new(),
+            refused: Vec::new(),
+            short_bound: None,
+            means: [None; 2],
+            start_until: None,
+            next_id: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Admits a request, or refuses it at once.
+    ///
+    /// The owner calls [`Queue::pop`] next, since a slot may be free.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] gives the item back with the reason and the time after which a retry is likely
+    /// to be admitted. The request was not run.
+    pub fn push(&mut self, now: Duration, ticket: Ticket, item: T) -> Result<TicketId, Refused<T>> {
+        let expected = ticket.expected.unwrap_or_else(|| self.mean(ticket.cost));
+        if let Err(refusal) = self.admit(now, &ticket, expected) {
+            return Err(Refused { refusal, item });
+        }
+        let id = TicketId(self.next_id);
+        self.next_id += 1;
+        self.counts.admitted += 1;
+        let latest = ticket.deadline.saturating_sub(expected);
+        self.lanes.push(Entry {
+            id,
+            cost: ticket.cost,
+            shape: ticket.shape,
+            expected,
+            arrived: now,
+            ages_at: self.ages_at(now, latest),
+            // A request that is admitted as a trial may start until its deadline.
+            start_by: if latest < now {
+                ticket.deadline
+            } else {
+                latest
+            },
+            item,
+        });
+        self.check();
+        Ok(id)
+    }
+
+    /// Hands out the next request that may run now.
+    ///
+    /// Entries that can no longer meet their deadline are set aside for [`Queue::expire`].
+    pub fn pop(&mut self, now: Duration) -> Option<(T, Permit)> {
+        self.set_aside_late(now);
+        self.update_allowed(now);
+        if self.running.len() >= self.limit.slots(now) {
+            return None;
+        }
+        let long_fits = self.long_running() < self.long_limit(now);
+        let entry = self.lanes.pop(now, long_fits)?;
+        self.running.push(Running {
+            id: entry.id,
+            cost: entry.cost,
+            shape: entry.shape,
+            started: now,
+            expected: entry.expected,
+        });
+        self.check();
+        let permit = Permit {
+            id: entry.id,
+            waited: now.saturating_sub(entry.arrived),
+        };
+        Some((entry.item, permit))
+    }
+
+    /// Frees the slot of a request that has ended.
+    ///
+    /// `service_time` is `None` when the request was cut off, so that its time says nothing.
+    pub fn finish(&mut self, now: Duration, permit: Permit, service_time: Option<Duration>) {
+        let Some(at) = self.running.iter().position(|r| r.id == permit.id) else {
+            debug_assert!(false, "permit of another queue");
+            return;
+        };
+        let done = self.running.swap_remove(at);
+        self.counts.finished += 1;
+        if let Some(time) = service_time {
+            let sample = time.as_secs_f64();
+            let mean = self.means[done.cost as usize].get_or_insert(sample);
+            *mean += MEAN_WEIGHT * (sample - *mean);
+        }
+        self.update_allowed(now);
+        self.check();
+    }
+
+    /// Withdraws a request whose caller has gone.
+    ///
+    /// A running request keeps its slot until the owner has stopped it and calls
+    /// [`Queue::finish`].
+    pub fn cancel(&mut self, id: TicketId) -> Cancelled<T> {
+        if let Some(entry) = self.lanes.remove(id) {
+            self.counts.cancelled += 1;
+            self.check();
+            return Cancelled::Waiting(entry.item);
+        }
+        if self.running.iter().any(|r| r.id == id) {
+            return Cancelled::Running;
+        }
+        Cancelled::Unknown
+    }
+
+    /// Returns the admitted requests that were refused since the last call: their deadline can no
+    /// longer be met, or the drain ended. None of them was run.
+    pub fn expire(&mut self, now: Duration) -> Vec<Refused<T>> {
+        self.set_aside_late(now);
+        let refused = std::mem::take(&mut self.refused);
+        self.counts.refused += refused.len() as u64;
+        self.check();
+        refused
+    }
+
+    /// Reviews the running and waiting requests against what the classes have learned.
+    ///
+    /// A running request that passed the short bound counts as long from now on, and waiting
+    /// requests of a shape that became long move to the long work. The owner calls this at
+    /// [`Queue::next_event`] and before [`Queue::pop`].
+    pub fn review(&mut self, now: Duration, classes: &mut Classes) {
+        let mut moved = false;
+        for request in &mut self.running {
+            let Some(shape) = request.shape else { continue };
+            self.short_bound = classes.short_bound_of(shape).or(self.short_bound);
+            if request.cost == Cost::Long {
+                continue;
+            }
+            let elapsed = now.saturating_sub(request.started);
+            request.cost = classes.note_running(shape, elapsed);
+            moved |= request.cost == Cost::Long;
+        }
+        if moved {
+            self.lanes.reclassify(|shape| classes.cost(shape));
+            self.counts.allowed_long = self.counts.allowed_long.max(self.long_running());
+        }
+        self.update_allowed(now);
+        self.check();
+    }
+
+    /// Returns when the owner should next call [`Queue::review`], [`Queue::expire`] and
+    /// [`Queue::pop`] although no request came or ended; `None` when there is nothing to wait for.
+    pub fn next_event(&self, now: Duration) -> Option<Duration> {
+        let overrun = self.short_bound.and_then(|bound| {
+            let short = self.running.iter().filter(|r| r.cost == Cost::Short);
+            short.map(|r| r.started + bound).min()
+        });
+        let waiting = !self.lanes.is_empty();
+        let limit = self.limit.next_change(now).filter(|_| waiting);
+        let drain = self.start_until.filter(|_| waiting);
+        let times = [overrun, self.lanes.next_start_by(), limit, drain];
+        let tick = now + Duration::from_millis(1);
+        times.into_iter().flatten().min().map(|at| at.max(tick))
+    }
+
+    /// Takes over the slots that the target announces.
+    pub fn set_slots(&mut self, now: Duration, slots: usize) {
+        self.limit.announce(slots);
+        self.update_allowed(now);
+        self.check();
+    }
+
+    /// Starts the ramp of a target that has just become ready and is cold.
+    pub fn start_cold(&mut self, now: Duration) {
+        self.limit.start_cold(now);
+        self.update_allowed(now);
+        self.check();
+    }
+
+    /// Lowers the running slots because the target shed a request.
+    pub fn reduce(&mut self, now: Duration) {
+        self.limit.reduce(now);
+        self.update_allowed(now);
+        self.check();
+    }
+
+    /// Stops admission. Requests that wait may start until `start_until`; what still waits then is
+    /// refused.
+    pub fn drain(&mut self, start_until: Duration) {
+        self.start_until = Some(start_until);
+    }
+
+    /// Takes new requests again after a drain.
+    pub fn resume(&mut self) {
+        self.start_until = None;
+    }
+
+    /// Returns whether nothing waits and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.lanes.is_empty() && self.running.is_empty() && self.refused.is_empty()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.lanes.len()
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of running requests that count as long.
+    pub fn long_running(&self) -> usize {
+        let long = |r: &&Running| r.cost == Cost::Long;
+        self.running.iter().filter(long).count()
+    }
+
+    /// Returns the requests that may run at once now.
+    pub fn slots(&self, now: Duration) -> usize {
+        self.limit.slots(now)
+    }
+
+    /// Returns the slots that long work may hold now.
+    pub fn long_limit(&self, now: Duration) -> usize {
+        self.settings.long_part(self.limit.slots(now))
+    }
+
+    fn ages_at(&self, now: Duration, latest: Duration) -> Duration {
+        let slack = latest.saturating_sub(now) / 2;
+        now.saturating_add(self.settings.ageing.min(slack))
+    }
+
+    /// Moves entries that may no longer start to the refused ones.
+    fn set_aside_late(&mut self, now: Duration) {
+        let drained = self.start_until.is_some_and(|until| now >= until);
+        let reason = if drained {
+            Reason::Draining
+        } else {
+            Reason::DeadlinePassed
+        };
+        let retry_after = RETRY_AFTER.0;
+        for entry in self.lanes.take_late(now, drained) {
+            let refusal = Refusal {
+                reason,
+                retry_after,
+            };
+            let item = entry.item;
+            self.refused.push(Refused { refusal, item });
+        }
+    }
+
+    /// Lowers what the verifier allows to the limit as running requests end.
+    fn update_allowed(&mut self, now: Duration) {
+        let slots = self.limit.slots(now);
+        self.counts.allowed = slots.max(self.running.len().min(self.counts.allowed));
+        let long = self.long_limit(now);
+        self.counts.allowed_long = long.max(self.long_running().min(self.counts.allowed_long));
+    }
+
+    /// Runs the verifier in debug builds.
+    fn check(&self) {
+        if cfg!(debug_assertions)
+            && let Err(violation) = verify(self)
+        {
+            panic!("queue invariant broken: {violation}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/estimate.rs
@@ -0,0 +1,144 @@
+//! Admission: how long a new request would wait, and whether it can meet its deadline.
+//!
+//! The estimate pours the work that goes before the request over the slots open to its class, each
+//! from the time at which its present request should end. The level reached is the wait.
+
+use std::time::Duration;
+
+use super::types::{Order, Reason, Refusal, Ticket};
+use super::{Queue, RETRY_AFTER, Result, Running};
+use crate::classes::Cost;
+
+impl<T> Queue<T> {
+    /// Decides whether a request may wait.
+    pub(super) fn admit(
+        &self,
+        now: Duration,
+        ticket: &Ticket,
+        expected: Duration,
+    ) -> Result<(), Refusal> {
+        if self.start_until.is_some() {
+            return Err(refusal(Reason::Draining, RETRY_AFTER.0));
+        }
+        if ticket.deadline <= now {
+            return Err(refusal(Reason::DeadlinePassed, RETRY_AFTER.0));
+        }
+        if self.is_full(ticket.cost) {
+            let half = self.estimated_wait(now, ticket.cost) / 2;
+            return Err(refusal(Reason::QueueFull, half));
+        }
+        if !self.settings.refuse_late || self.is_trial(ticket.cost) {
+            return Ok(());
+        }
+        let end = now + self.estimated_wait(now, ticket.cost) + expected;
+        match end.checked_sub(ticket.deadline) {
+            Some(excess) if !excess.is_zero() => Err(refusal(Reason::TooLate, excess)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the estimated wait of a request of this class that arrives now.
+    pub fn estimated_wait(&self, now: Duration, cost: Cost) -> Duration {
+        let slots = self.limit.slots(now);
+        let (open, ahead) = match (self.settings.order, cost) {
+            (Order::FirstCome, _) => (self.frees_at(now, slots, |_| true), self.all_work()),
+            (Order::ShortFirst, Cost::Short) => self.open_to_short(now, slots),
+            (Order::ShortFirst, Cost::Long) => self.open_to_long(now),
+        };
+        Duration::from_secs_f64(pour(open, ahead))
+    }
+
+    /// Returns the smoothed service time of a class; zero while none was measured.
+    pub(super) fn mean(&self, cost: Cost) -> Duration {
+        let mean = self.means[cost as usize];
+        Duration::from_secs_f64(mean.unwrap_or(0.0))
+    }
+
+    /// Returns whether the class holds all of the places that it may.
+    fn is_full(&self, cost: Cost) -> bool {
+        let length = self.settings.length;
+        let long = self.settings.long_part(length);
+        // Short work may fill the queue, but for one place when long work has a share.
+        let kept = usize::from(self.settings.long_share.is_some() && length >= 2);
+        let places = match cost {
+            Cost::Short => length - kept,
+            Cost::Long => long,
+        };
+        self.lanes.len() >= length || self.lanes.lane_len(cost) >= places
+    }
+
+    /// Returns whether nothing of the class waits or runs.
+    ///
+    /// Such a request is always tried: an expected time that is too high would otherwise never be
+    /// measured again.
+    fn is_trial(&self, cost: Cost) -> bool {
+        self.lanes.lane_len(cost) == 0 && !self.running.iter().any(|r| r.cost == cost)
+    }
+
+    fn all_work(&self) -> f64 {
+        self.lanes.work(Cost::Short) + self.lanes.work(Cost::Long)
+    }
+
+    /// Slots for short work: all, but those that long work holds and passes on to long work.
+    fn open_to_short(&self, now: Duration, slots: usize) -> (Vec<f64>, f64) {
+        let ahead = self.lanes.work(Cost::Short);
+        let long_waits = self.lanes.lane_len(Cost::Long) > 0;
+        let passed_on = if long_waits { self.long_running() } else { 0 };
+        let open = slots.saturating_sub(passed_on).max(1);
+        let counts = |r: &Running| !long_waits || r.cost == Cost::Short;
+        (self.frees_at(now, open, counts), ahead)
+    }
+
+    /// Slots for long work: its share. Short work ahead is small against it.
+    fn open_to_long(&self, now: Duration) -> (Vec<f64>, f64) {
+        let ahead = self.lanes.work(Cost::Long);
+        let open = self.long_limit(now).max(1);
+        (self.frees_at(now, open, |r| r.cost == Cost::Long), ahead)
+    }
+
+    /// Returns when each of `slots` slots gets free, in seconds from now, with the counted
+    /// requests running on them. When more run than slots are open, the first to end open none.
+    fn frees_at(&self, now: Duration, slots: usize, counts: impl Fn(&Running) -> bool) -> Vec<f64> {
+        let counted = self.running.iter().filter(|r| counts(r));
+        let mut frees: Vec<f64> = counted.map(|r| remaining(now, r)).collect();
+        while frees.len() < slots {
+            frees.push(0.0);
+        }
+        frees.sort_by(f64::total_cmp);
+        frees.split_off(frees.len() - slots)
+    }
+}
+
+/// Returns the expected remaining time in seconds. A request that has passed its expected time is
+/// taken to be half way.
+fn remaining(now: Duration, request: &Running) -> f64 {
+    let elapsed = now.saturating_sub(request.started);
+    let left = request.expected.saturating_sub(elapsed);
+    if left.is_zero() {
+        elapsed.as_secs_f64()
+    } else {
+        left.as_secs_f64()
+    }
+}
+
+/// Returns the level that `work` seconds of work reach over slots that get free at the sorted
+/// times `frees`.
+fn pour(frees: Vec<f64>, work: f64) -> f64 {
+    let mut sum = 0.0;
+    let mut level = 0.0;
+    for (at, free) in frees.iter().enumerate() {
+        if at > 0 && *free >= level {
+            break;
+        }
+        sum += free;
+        level = (sum + work) / (at + 1) as f64;
+    }
+    level
+}
+
+fn refusal(reason: Reason, retry_after: Duration) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: retry_after.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/lanes.rs
@@ -0,0 +1,152 @@
+//! The waiting requests, one lane per cost class, each in order of arrival.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::types::{Order, TicketId};
+use crate::classes::{Cost, ShapeId};
+
+/// A waiting request.
+#[derive(Debug)]
+pub(super) struct Entry<T> {
+    pub(super) id: TicketId,
+    pub(super) cost: Cost,
+    pub(super) shape: Option<ShapeId>,
+    pub(super) expected: Duration,
+    pub(super) arrived: Duration,
+    /// When long work goes before short work.
+    pub(super) ages_at: Duration,
+    /// Last instant at which a start still meets the deadline.
+    pub(super) start_by: Duration,
+    pub(super) item: T,
+}
+
+/// Waiting requests. Ids rise with arrival, so that each lane is sorted by id.
+#[derive(Debug)]
+pub(super) struct Lanes<T> {
+    order: Order,
+    short: VecDeque<Entry<T>>,
+    long: VecDeque<Entry<T>>,
+    /// No entry has an earlier `start_by`; `None` when that is not known to matter.
+    earliest: Option<Duration>,
+}
+
+impl<T> Lanes<T> {
+    pub(super) fn new(order: Order) -> Self {
+        Self {
+            order,
+            short: VecDeque::new(),
+            long: VecDeque::new(),
+            earliest: None,
+        }
+    }
+
+    pub(super) fn push(&mut self, entry: Entry<T>) {
+        let earliest = self.earliest.unwrap_or(entry.start_by);
+        self.earliest = Some(earliest.min(entry.start_by));
+        self.lane(entry.cost).push_back(entry);
+    }
+
+    /// Takes the entry that starts next. Long work starts only if `long_fits`.
+    pub(super) fn pop(&mut self, now: Duration, long_fits: bool) -> Option<Entry<T>> {
+        let long = self.long.front().filter(|_| long_fits);
+        let long_first = match (self.short.front(), long) {
+            (Some(short), Some(long)) => match self.order {
+                Order::ShortFirst => long.ages_at <= now,
+                Order::FirstCome => long.id < short.id,
+            },
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        let entry = if long_first {
+            self.long.pop_front()
+        } else {
+            self.short.pop_front()
+        };
+        if self.is_empty() {
+            self.earliest = None;
+        }
+        entry
+    }
+
+    pub(super) fn remove(&mut self, id: TicketId) -> Option<Entry<T>> {
+        for lane in [&mut self.short, &mut self.long] {
+            if let Ok(at) = lane.binary_search_by(|entry| entry.id.cmp(&id)) {
+                return lane.remove(at);
+            }
+        }
+        None
+    }
+
+    /// Takes the entries that may no longer start, or all of them.
+    pub(super) fn take_late(&mut self, now: Duration, all: bool) -> Vec<Entry<T>> {
+        let due = self.earliest.is_some_and(|earliest| earliest < now);
+        if !due && !all {
+            return Vec::new();
+        }
+        let mut late = Vec::new();
+        for lane in [&mut self.short, &mut self.long] {
+            let (gone, kept) = std::mem::take(lane)
+                .into_iter()
+                .partition(|entry| all || entry.start_by < now);
+            *lane = kept;
+            late.extend::<VecDeque<_>>(gone);
+        }
+        self.earliest = self.iter().map(|entry| entry.start_by).min();
+        late
+    }
+
+    /// Moves waiting entries to the lane of their shape's present class.
+    pub(super) fn reclassify(&mut self, cost: impl Fn(ShapeId) -> Option<Cost>) {
+        let became_long = |entry: &Entry<T>| entry.shape.and_then(&cost) == Some(Cost::Long);
+        let (moved, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.short)
+            .into_iter()
+            .partition(became_long);
+        self.short = kept;
+        for mut entry in moved {
+            entry.cost = Cost::Long;
+            let at = self.long.partition_point(|other| other.id < entry.id);
+            self.long.insert(at, entry);
+        }
+    }
+
+    /// Returns an instant after which [`Lanes::take_late`] may find something.
+    pub(super) fn next_start_by(&self) -> Option<Duration> {
+        self.earliest
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Entry<T>> {
+        self.short.iter().chain(&self.long)
+    }
+
+    pub(super) fn lane_len(&self, cost: Cost) -> usize {
+        match cost {
+            Cost::Short => self.short.len(),
+            Cost::Long => self.long.len(),
+        }
+    }
+
+    /// Returns the summed expected time of a lane, in seconds.
+    pub(super) fn work(&self, cost: Cost) -> f64 {
+        let lane = match cost {
+            Cost::Short => &self.short,
+            Cost::Long => &self.long,
+        };
+        lane.iter().map(|entry| entry.expected.as_secs_f64()).sum()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.short.len() + self.long.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.short.is_empty() && self.long.is_empty()
+    }
+
+    fn lane(&mut self, cost: Cost) -> &mut VecDeque<Entry<T>> {
+        match cost {
+            Cost::Short => &mut self.short,
+            Cost::Long => &mut self.long,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/types.rs
@@ -0,0 +1,163 @@
+//! Types at the queue's interface.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+use crate::Verdict;
+use crate::classes::{Class, Cost, ShapeId};
+
+/// Result of the queue.
+pub type Result<T, E> = std::result::Result<T, E>;
+
+/// Settings of a queue.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Part of the slots and of the places that long work may hold, above 0 and at most 1. Each
+    /// class keeps at least one of both. `None` sets no limit (baseline).
+    pub long_share: Option<f64>,
+    /// Requests that may wait.
+    pub length: usize,
+    /// Time after which waiting long work goes before short work. It is at most half of the time
+    /// that the request can wait.
+    pub ageing: Duration,
+    /// Order in which waiting requests start.
+    pub order: Order,
+    /// Whether admission refuses requests that cannot meet their deadline.
+    pub refuse_late: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            long_share: Some(0.5),
+            length: 200,
+            ageing: Duration::from_millis(500),
+            order: Order::ShortFirst,
+            refuse_late: true,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the part of `whole` slots or places that long work may hold.
+    pub fn long_part(&self, whole: usize) -> usize {
+        let Some(share) = self.long_share else {
+            return whole;
+        };
+        if whole < 2 {
+            return whole;
+        }
+        ((whole as f64 * share) as usize).clamp(1, whole - 1)
+    }
+}
+
+/// Order in which waiting requests start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// Short work first, with ageing for long work.
+    ShortFirst,
+    /// In order of arrival (baseline).
+    FirstCome,
+}
+
+/// Names an admitted request of one queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TicketId(pub(super) u64);
+
+/// What the queue needs to know about a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Ticket {
+    /// Cost class.
+    pub cost: Cost,
+    /// Learned shape, by which the request can change class later.
+    pub shape: Option<ShapeId>,
+    /// Expected service time; `None` takes the mean of the class.
+    pub expected: Option<Duration>,
+    /// Instant by which the answer is needed, as time since boot.
+    pub deadline: Duration,
+}
+
+impl Ticket {
+    /// Makes the ticket of a classified request.
+    pub fn new(class: Class, deadline: Duration) -> Self {
+        Self {
+            cost: class.cost,
+            shape: Some(class.shape),
+            expected: class.expected,
+            deadline,
+        }
+    }
+}
+
+/// Right to run one request. It is given back with [`Queue::finish`](super::Queue::finish).
+#[derive(Debug)]
+#[must_use = "a permit that is not finished holds its slot for good"]
+pub struct Permit {
+    pub(super) id: TicketId,
+    pub(super) waited: Duration,
+}
+
+impl Permit {
+    /// Returns the ticket that the permit belongs to.
+    pub fn id(&self) -> TicketId {
+        self.id
+    }
+
+    /// Returns how long the request waited in the queue.
+    pub fn waited(&self) -> Duration {
+        self.waited
+    }
+}
+
+/// Why the queue refused a request.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// queue full
+    QueueFull,
+    /// deadline cannot be met
+    TooLate,
+    /// deadline passed in the queue
+    DeadlinePassed,
+    /// target is draining
+    Draining,
+}
+
+/// the request was not run: {reason}
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Time after which another try is likely to be admitted.
+    pub retry_after: Duration,
+}
+
+impl std::error::Error for Refusal {}
+
+impl Refusal {
+    /// Returns the verdict, which is the same for all refusals: the queue never handed the
+    /// request out.
+    pub fn verdict(&self) -> Verdict {
+        Verdict::NotRun
+    }
+}
+
+/// A refused request, given back to the owner.
+#[derive(Debug)]
+pub struct Refused<T> {
+    /// Reason and advice for the caller.
+    pub refusal: Refusal,
+    /// What the owner kept for the request.
+    pub item: T,
+}
+
+/// What [`Queue::cancel`](super::Queue::cancel) found.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Cancelled<T> {
+    /// The request was waiting and is gone; it was not run.
+    Waiting(T),
+    /// The request is running; the owner stops it and finishes its permit.
+    Running,
+    /// The request has ended already.
+    Unknown,
+}
