--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+/// The most shards that all services may have together; the assignment table has the same bound.
+pub const MAX_SHARDS: usize = 65_536;
+
+/// The most services. The table holds every service that was ever declared.
+pub const MAX_SERVICES: usize = 1_024;
+
 /// The whole deployment configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Deployment {
--- /dev/null
+++ b/crates/config/src/deployment_read.rs
@@ -0,0 +1,281 @@
+//! Reads the deployment configuration.
+
+use std::collections::HashMap;
+
+use crate::deployment::{Deployment, KeySource, MAX_SERVICES, MAX_SHARDS, Rules, Service};
+use crate::fault::{Faults, Problem};
+use crate::nearest::nearest;
+use crate::reader::{Reader, hint, is_name, name_form};
+use crate::text::{Entry, Section, split};
+
+pub(crate) const SERVICE_KEYS: [&str; 11] = [
+    "paths",
+    "divided",
+    "shards",
+    "key",
+    "non_idempotent",
+    "deadline_ms",
+    "targets_check_grants",
+    "long_share",
+    "queue_length",
+    "retry_budget",
+    "max_ejected",
+];
+pub(crate) const RULE_KEYS: [&str; 3] = ["max_draining", "moves_per_round", "imbalance_tolerance"];
+pub(crate) const METHODS: [&str; 8] = [
+    "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE", "POST", "PATCH",
+];
+
+const SECTION_FORMS: &str = "expected [service NAME] or [rules]";
+const KEY_FORMS: &str = "path N with N from 1 to 32, query NAME, or header NAME";
+
+/// Most paths of one service; each request is compared with all of them.
+const MAX_PATHS: usize = 64;
+/// Longest path prefix in bytes.
+const MAX_PATH_BYTES: usize = 256;
+/// Longest name of a query parameter or header that carries the key, in bytes.
+const MAX_KEY_NAME_BYTES: usize = 64;
+/// Highest path segment that may carry the key.
+const MAX_KEY_SEGMENT: usize = 32;
+
+/// A path prefix with its place, for the comparison across services.
+struct Prefix<'a> {
+    section: &'a Section,
+    line: usize,
+    path: String,
+}
+
+impl Deployment {
+    /// Reads the deployment configuration from INI text.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text, in the order of the lines.
+    pub fn parse(text: &str) -> crate::Result<Self> {
+        let mut faults = Faults::new("");
+        let sections = split(text, &mut faults);
+        let mut deployment = Self::default();
+        let mut prefixes = Vec::new();
+        check_sections(&sections, &mut faults);
+        for section in &sections {
+            if let Some(name) = section.name.strip_prefix("service ") {
+                let mut reader = Reader::new(section, &mut faults);
+                let service = read_service(name, &mut reader);
+                let line = reader.entry("paths").map_or(section.line, |e| e.line);
+                prefixes.extend(service.paths.iter().map(|path| Prefix {
+                    section,
+                    line,
+                    path: path.clone(),
+                }));
+                deployment.services.push(service);
+            } else if section.name == "rules" {
+                read_rules(
+                    &mut deployment.rules,
+                    &mut Reader::new(section, &mut faults),
+                );
+            }
+        }
+        check_prefixes(&prefixes, &mut faults);
+        check_totals(&deployment, &mut faults);
+        faults.finish(deployment)
+    }
+}
+
+fn check_sections(sections: &[Section], faults: &mut Faults<'_>) {
+    let mut first_lines: HashMap<&str, usize> = HashMap::new();
+    for section in sections {
+        let (name, line) = (section.name.as_str(), section.line);
+        if let Some(service) = name.strip_prefix("service ") {
+            if !is_name(service) || service == "rules" {
+                let problem = Problem::Invalid {
+                    value: crate::fault::shorten(service),
+                    expected: format!("{}, other than `rules`", name_form()),
+                };
+                faults.push(line, name, "", problem);
+            }
+        } else if name != "rules" {
+            let hint = section_hint(name);
+            faults.push(line, name, "", Problem::UnknownSection { hint });
+        }
+        if let Some(first) = first_lines.get(name) {
+            faults.push(line, name, "", Problem::Duplicate { first: *first });
+        } else {
+            first_lines.insert(name, line);
+        }
+    }
+}
+
+fn section_hint(name: &str) -> String {
+    let word = name.split(' ').next().unwrap_or_default();
+    match nearest(word, ["service", "rules"]) {
+        Some(near) => format!("did you mean `{near}`? {SECTION_FORMS}"),
+        None => SECTION_FORMS.into(),
+    }
+}
+
+fn read_service(name: &str, reader: &mut Reader<'_, '_>) -> Service {
+    reader.check_keys(&SERVICE_KEYS, None);
+    let mut service = Service {
+        name: name.into(),
+        ..Service::default()
+    };
+    read_paths(&mut service.paths, reader);
+    read_division(&mut service, reader);
+    read_methods(&mut service.non_idempotent, reader);
+    reader.millis("deadline_ms", 1..=3_600_000, &mut service.deadline);
+    reader.flag("targets_check_grants", &mut service.targets_check_grants);
+    // The share of the slots is never 0, since long work would then wait for ever.
+    reader.number("long_share", 0.01..=1.0, "", &mut service.long_share);
+    reader.number("queue_length", 1..=1_000_000, "", &mut service.queue_length);
+    reader.number("retry_budget", 0.0..=1.0, "", &mut service.retry_budget);
+    reader.number("max_ejected", 0.0..=1.0, "", &mut service.max_ejected);
+    service
+}
+
+fn read_rules(rules: &mut Rules, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&RULE_KEYS, None);
+    reader.number("max_draining", 1..=10_000, "", &mut rules.max_draining);
+    reader.number("moves_per_round", 1..=1_000, "", &mut rules.moves_per_round);
+    reader.number(
+        "imbalance_tolerance",
+        0.0..=10.0,
+        "",
+        &mut rules.imbalance_tolerance,
+    );
+}
+
+fn read_paths(paths: &mut Vec<String>, reader: &mut Reader<'_, '_>) {
+    const FORM: &str = "path prefixes such as /search/, separated by commas";
+    let Some(entry) = reader.entry("paths") else {
+        return reader.missing("paths", FORM);
+    };
+    for path in list(entry) {
+        if is_path(path) {
+            paths.push(path.into());
+        } else {
+            reader.invalid(entry, FORM);
+            return;
+        }
+    }
+    if paths.is_empty() {
+        reader.invalid(entry, FORM);
+    } else if paths.len() > MAX_PATHS {
+        reader.invalid(entry, format_args!("at most {MAX_PATHS} path prefixes"));
+    }
+}
+
+/// Returns whether a prefix can fit a request path as callers send it.
+fn is_path(path: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_graphic() && !matches!(b, b'?' | b'#' | b';' | b'"' | b'\\');
+    path.starts_with('/')
+        && path.len() <= MAX_PATH_BYTES
+        && path.bytes().all(allowed)
+        && !crate::route::has_dot_segment(path)
+}
+
+fn read_division(service: &mut Service, reader: &mut Reader<'_, '_>) {
+    let mut divided = false;
+    reader.flag("divided", &mut divided);
+    if !divided {
+        for key in ["shards", "key"] {
+            if reader.entry(key).is_some() {
+                reader.contradiction(key, "only valid with divided = yes");
+            }
+        }
+        return;
+    }
+    match reader.entry("shards") {
+        None => reader.missing("shards", "a power of two from 1 to 65536"),
+        Some(entry) => match entry.value.parse::<u32>() {
+            Ok(n) if n.is_power_of_two() && n as usize <= MAX_SHARDS => service.shards = n,
+            _ => reader.invalid(entry, "a power of two from 1 to 65536"),
+        },
+    }
+    match reader.entry("key") {
+        None => reader.missing("key", KEY_FORMS),
+        Some(entry) => match parse_key(&entry.value) {
+            Some(key) => service.key = Some(key),
+            None => reader.invalid(entry, KEY_FORMS),
+        },
+    }
+}
+
+fn parse_key(text: &str) -> Option<KeySource> {
+    let (kind, name) = text.split_once([' ', '\t'])?;
+    let name = name.trim_start();
+    let fits = (1..=MAX_KEY_NAME_BYTES).contains(&name.len());
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'-' | b'.');
+    if !fits || !name.bytes().all(allowed) {
+        return None;
+    }
+    match kind {
+        "path" => {
+            let segment = name.parse().ok()?;
+            (1..=MAX_KEY_SEGMENT)
+                .contains(&segment)
+                .then_some(KeySource::Path(segment))
+        }
+        "query" => Some(KeySource::Query(name.into())),
+        "header" => Some(KeySource::Header(name.to_ascii_lowercase())),
+        _ => None,
+    }
+}
+
+fn read_methods(methods: &mut Vec<String>, reader: &mut Reader<'_, '_>) {
+    let Some(entry) = reader.entry("non_idempotent") else {
+        return;
+    };
+    methods.clear();
+    if entry.value == "none" {
+        return;
+    }
+    for method in list(entry) {
+        if !METHODS.contains(&method) {
+            let hint = hint(method, &METHODS);
+            return reader.invalid(entry, format_args!("none, or methods; {hint}"));
+        }
+        if !methods.iter().any(|m| m == method) {
+            methods.push(method.into());
+        }
+    }
+    if methods.is_empty() {
+        reader.invalid(entry, "none, or methods such as POST, PATCH");
+    }
+}
+
+/// Splits a value at its commas; empty parts are left out.
+fn list(entry: &Entry) -> impl Iterator<Item = &str> {
+    entry
+        .value
+        .split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
+fn check_prefixes(prefixes: &[Prefix<'_>], faults: &mut Faults<'_>) {
+    let mut owners: HashMap<&str, &Prefix<'_>> = HashMap::new();
+    for prefix in prefixes {
+        let Some(first) = owners.insert(&prefix.path, prefix) else {
+            continue;
+        };
+        let message = format!(
+            "path {} is already given by [{}] at line {}",
+            prefix.path, first.section.name, first.line
+        );
+        let problem = Problem::Contradiction(message);
+        faults.push(prefix.line, &prefix.section.name, "paths", problem);
+    }
+}
+
+fn check_totals(deployment: &Deployment, faults: &mut Faults<'_>) {
+    let services = deployment.services.len();
+    if services > MAX_SERVICES {
+        let message = format!("{services} services exceed the limit of {MAX_SERVICES}");
+        faults.push(0, "", "", Problem::Contradiction(message));
+    }
+    let shards: usize = deployment.services.iter().map(|s| s.shards as usize).sum();
+    if shards > MAX_SHARDS {
+        let message = format!("{shards} shards in all services exceed the limit of {MAX_SHARDS}");
+        faults.push(0, "", "", Problem::Contradiction(message));
+    }
+}
--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,188 @@
+//! Reads the entries of one section and records each fault.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::fault::{Faults, Problem, shorten};
+use crate::nearest::nearest;
+use crate::text::{Entry, Section};
+
+/// Longest name of a VM, region, data centre or service, in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
+/// One section with the collector of its faults.
+pub(crate) struct Reader<'a, 'f> {
+    section: &'a Section,
+    faults: &'a mut Faults<'f>,
+}
+
+impl<'a, 'f> Reader<'a, 'f> {
+    pub(crate) fn new(section: &'a Section, faults: &'a mut Faults<'f>) -> Self {
+        Self { section, faults }
+    }
+
+    /// Records keys that are not valid here and keys that are given twice.
+    pub(crate) fn check_keys(&mut self, valid: &[&str], prefix: Option<&str>) {
+        for (at, entry) in self.section.entries.iter().enumerate() {
+            let key = entry.key.as_str();
+            let by_prefix = prefix.is_some_and(|p| key.len() > p.len() && key.starts_with(p));
+            if !valid.contains(&key) && !by_prefix {
+                self.unknown_key(entry, valid);
+            } else if let Some(first) = self.section.entries[..at].iter().find(|e| e.key == key) {
+                let first = first.line;
+                self.fault(entry, Problem::Duplicate { first });
+            }
+        }
+    }
+
+    fn unknown_key(&mut self, entry: &Entry, valid: &[&str]) {
+        let hint = hint(&entry.key, valid);
+        // A secret that was pasted without its key can look like a key.
+        let key = if self.is_secret() { "" } else { &entry.key };
+        let (line, section) = (entry.line, &self.section.name);
+        self.faults
+            .push(line, section, key, Problem::UnknownKey { hint });
+    }
+
+    fn is_secret(&self) -> bool {
+        self.section.name == "secret"
+    }
+
+    pub(crate) fn section_name(&self) -> &'a str {
+        &self.section.name
+    }
+
+    pub(crate) fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.section.entries.iter().find(|e| e.key == key)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &'a Entry> + use<'a> {
+        self.section.entries.iter()
+    }
+
+    pub(crate) fn fault(&mut self, entry: &Entry, problem: Problem) {
+        self.faults
+            .push(entry.line, &self.section.name, &entry.key, problem);
+    }
+
+    pub(crate) fn invalid(&mut self, entry: &Entry, expected: impl Display) {
+        let problem = Problem::Invalid {
+            value: shorten(&entry.value),
+            expected: expected.to_string(),
+        };
+        self.fault(entry, problem);
+    }
+
+    pub(crate) fn missing(&mut self, key: &str, expected: impl Display) {
+        let expected = expected.to_string();
+        let (line, section) = (self.section.line, &self.section.name);
+        self.faults
+            .push(line, section, key, Problem::Missing { expected });
+    }
+
+    /// Records a fault between settings, at the line of `key` if it is given.
+    pub(crate) fn contradiction(&mut self, key: &str, message: impl Into<String>) {
+        let line = self.entry(key).map_or(self.section.line, |e| e.line);
+        let problem = Problem::Contradiction(message.into());
+        self.faults.push(line, &self.section.name, key, problem);
+    }
+
+    /// Reads a number within bounds into `into`. `unit` follows the upper bound in the fault.
+    pub(crate) fn number<T>(
+        &mut self,
+        key: &str,
+        bounds: RangeInclusive<T>,
+        unit: &str,
+        into: &mut T,
+    ) where
+        T: FromStr + PartialOrd + Display,
+    {
+        let Some(entry) = self.entry(key) else { return };
+        match entry.value.parse() {
+            Ok(value) if bounds.contains(&value) => *into = value,
+            _ => {
+                let (min, max) = (bounds.start(), bounds.end());
+                self.invalid(entry, format_args!("a number from {min} to {max}{unit}"));
+            }
+        }
+    }
+
+    /// Reads a duration in whole milliseconds.
+    pub(crate) fn millis(&mut self, key: &str, bounds: RangeInclusive<u64>, into: &mut Duration) {
+        let mut value = into.as_millis() as u64;
+        self.number(key, bounds, " milliseconds", &mut value);
+        *into = Duration::from_millis(value);
+    }
+
+    /// Reads `yes` or `no`.
+    pub(crate) fn flag(&mut self, key: &str, into: &mut bool) {
+        let Some(entry) = self.entry(key) else { return };
+        match entry.value.as_str() {
+            "yes" => *into = true,
+            "no" => *into = false,
+            _ => self.invalid(entry, "yes or no"),
+        }
+    }
+
+    /// Reads a name of letters, digits, dashes and underscores.
+    pub(crate) fn name(&mut self, key: &str, into: &mut String) {
+        match self.entry(key) {
+            None => self.missing(key, name_form()),
+            Some(entry) if is_name(&entry.value) => *into = entry.value.clone(),
+            Some(entry) => self.invalid(entry, name_form()),
+        }
+    }
+
+    /// Reads an address that must be given.
+    pub(crate) fn address(&mut self, key: &str, into: &mut SocketAddr) {
+        if self.entry(key).is_none() {
+            self.missing(key, "ip:port");
+        }
+        self.optional_address(key, into);
+    }
+
+    /// Reads an address if it is given, and returns whether it was read.
+    pub(crate) fn optional_address(&mut self, key: &str, into: &mut SocketAddr) -> bool {
+        let Some(entry) = self.entry(key) else {
+            return false;
+        };
+        match entry.value.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => {
+                *into = address;
+                return true;
+            }
+            Ok(_) => self.invalid(entry, "ip:port with a port from 1 to 65535"),
+            Err(_) => self.invalid(entry, "ip:port, such as 10.0.0.1:7000 or [fd00::1]:7000"),
+        }
+        false
+    }
+
+    /// Records a value that is none of `valid`.
+    pub(crate) fn invalid_word(&mut self, entry: &Entry, valid: &[&str]) {
+        let hint = hint(&entry.value, valid);
+        self.invalid(entry, hint);
+    }
+}
+
+/// Returns the form of a name in words.
+pub(crate) fn name_form() -> String {
+    format!("a name of at most {MAX_NAME_BYTES} letters, digits, dashes and underscores")
+}
+
+/// Returns whether a text is a valid name.
+pub(crate) fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'-');
+    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(allowed)
+}
+
+/// Returns the valid words, and the nearest one first if there is one.
+pub(crate) fn hint(word: &str, valid: &[&str]) -> String {
+    let all = valid.join(", ");
+    match nearest(word, valid.iter().copied()) {
+        Some(near) => format!("did you mean `{near}`? Valid: {all}"),
+        None => format!("one of {all}"),
+    }
+}
--- /dev/null
+++ b/crates/config/src/render.rs
@@ -0,0 +1,77 @@
+//! Renders a deployment configuration as canonical text.
+
+use std::fmt::{Display, Formatter, Result};
+
+use crate::deployment::{Deployment, KeySource, Rules, Service};
+
+/// Writes the text that [`Deployment::parse`] reads back to the same value. Every key is given, in
+/// a fixed order.
+impl Display for Deployment {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        for service in &self.services {
+            writeln!(f, "[service {}]", service.name)?;
+            for (key, value) in service.entries() {
+                writeln!(f, "{key} = {value}")?;
+            }
+            writeln!(f)?;
+        }
+        writeln!(f, "[rules]")?;
+        for (key, value) in self.rules.entries() {
+            writeln!(f, "{key} = {value}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Display for KeySource {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        match self {
+            Self::Path(segment) => write!(f, "path {segment}"),
+            Self::Query(name) => write!(f, "query {name}"),
+            Self::Header(name) => write!(f, "header {name}"),
+        }
+    }
+}
+
+impl Service {
+    /// Returns the keys and values of the section, in the canonical order.
+    pub fn entries(&self) -> Vec<(&'static str, String)> {
+        let mut entries = vec![
+            ("paths", self.paths.join(", ")),
+            ("divided", flag(self.shards > 0)),
+        ];
+        if let Some(key) = &self.key {
+            entries.push(("shards", self.shards.to_string()));
+            entries.push(("key", key.to_string()));
+        }
+        let methods = match self.non_idempotent.as_slice() {
+            [] => "none".into(),
+            methods => methods.join(", "),
+        };
+        entries.extend([
+            ("non_idempotent", methods),
+            ("deadline_ms", self.deadline.as_millis().to_string()),
+            ("targets_check_grants", flag(self.targets_check_grants)),
+            ("long_share", self.long_share.to_string()),
+            ("queue_length", self.queue_length.to_string()),
+            ("retry_budget", self.retry_budget.to_string()),
+            ("max_ejected", self.max_ejected.to_string()),
+        ]);
+        entries
+    }
+}
+
+impl Rules {
+    /// Returns the keys and values of the section, in the canonical order.
+    pub fn entries(&self) -> Vec<(&'static str, String)> {
+        vec![
+            ("max_draining", self.max_draining.to_string()),
+            ("moves_per_round", self.moves_per_round.to_string()),
+            ("imbalance_tolerance", self.imbalance_tolerance.to_string()),
+        ]
+    }
+}
+
+fn flag(value: bool) -> String {
+    if value { "yes" } else { "no" }.into()
+}
--- /dev/null
+++ b/crates/config/src/settings_read.rs
@@ -0,0 +1,272 @@
+//! Reads the daemon's settings.
+
+use std::net::SocketAddr;
+
+use crate::fault::{Faults, Problem};
+use crate::reader::{Reader, hint};
+use crate::settings::{Daemon, Lease, Limits, Listen, Log, Platform, Secret, Settings};
+use crate::text::{Section, split};
+
+const SECTIONS: [&str; 7] = [
+    "daemon", "listen", "platform", "lease", "limits", "secret", "log",
+];
+const REQUIRED: [&str; 4] = ["daemon", "listen", "platform", "secret"];
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+const LEVEL_PREFIX: &str = "level.";
+
+/// Shortest shared secret, in characters.
+const MIN_SECRET: usize = 16;
+/// Longest shared secret, in characters; it travels in a header.
+const MAX_SECRET: usize = 256;
+/// Renewals that fit into one lease at least, so that a single lost message ends no lease.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+impl Settings {
+    /// Reads the settings of a daemon from INI text. `file_name` only appears in faults.
+    ///
+    /// `[daemon]`, `[listen]`, `[platform]` and `[secret]` must be given; other keys have the
+    /// values of [`Default`]. Durations are whole milliseconds in keys that end in `_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text, in the order of the lines. No fault repeats a secret.
+    pub fn parse(text: &str, file_name: &str) -> crate::Result<Self> {
+        let mut faults = Faults::new(file_name);
+        let sections = split(text, &mut faults);
+        check_sections(&sections, &mut faults);
+        let mut settings = Self::default();
+        for (at, section) in sections.iter().enumerate() {
+            if sections[..at].iter().any(|s| s.name == section.name) {
+                continue;
+            }
+            read_section(&mut settings, &mut Reader::new(section, &mut faults));
+        }
+        if let Some(listen) = sections.iter().find(|s| s.name == "listen") {
+            check_addresses(&settings, &mut Reader::new(listen, &mut faults));
+        }
+        faults.finish(settings)
+    }
+}
+
+fn check_sections(sections: &[Section], faults: &mut Faults<'_>) {
+    for (at, section) in sections.iter().enumerate() {
+        let name = section.name.as_str();
+        if !SECTIONS.contains(&name) {
+            let hint = hint(name, &SECTIONS);
+            faults.push(section.line, name, "", Problem::UnknownSection { hint });
+        } else if let Some(first) = sections[..at].iter().find(|s| s.name == name) {
+            let first = first.line;
+            faults.push(section.line, name, "", Problem::Duplicate { first });
+        }
+    }
+    for name in REQUIRED {
+        if !sections.iter().any(|s| s.name == name) {
+            let expected = format!("section [{name}]");
+            faults.push(0, name, "", Problem::Missing { expected });
+        }
+    }
+}
+
+fn read_section(settings: &mut Settings, reader: &mut Reader<'_, '_>) {
+    match reader.section_name() {
+        "daemon" => read_daemon(&mut settings.daemon, reader),
+        "listen" => read_listen(&mut settings.listen, reader),
+        "platform" => read_platform(&mut settings.platform, reader),
+        "lease" => read_lease(&mut settings.lease, reader),
+        "limits" => read_limits(&mut settings.limits, reader),
+        "secret" => read_secret(&mut settings.secret, reader),
+        "log" => read_log(&mut settings.log, reader),
+        _ => {}
+    }
+}
+
+fn read_daemon(daemon: &mut Daemon, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["name", "region", "data_centre", "drain_ms"], None);
+    reader.name("name", &mut daemon.name);
+    reader.name("region", &mut daemon.region);
+    reader.name("data_centre", &mut daemon.data_centre);
+    reader.millis("drain_ms", 0..=3_600_000, &mut daemon.drain);
+}
+
+fn read_listen(listen: &mut Listen, reader: &mut Reader<'_, '_>) {
+    let keys = [
+        "callers",
+        "peers",
+        "peers_advertised",
+        "operators",
+        "announce",
+    ];
+    reader.check_keys(&keys, None);
+    reader.address("callers", &mut listen.callers);
+    reader.address("peers", &mut listen.peers);
+    reader.address("operators", &mut listen.operators);
+    reader.address("announce", &mut listen.announce);
+    let mut advertised = listen.peers;
+    if reader.optional_address("peers_advertised", &mut advertised) {
+        listen.peers_advertised = Some(advertised);
+    }
+}
+
+fn read_platform(platform: &mut Platform, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["address", "timeout_ms"], None);
+    reader.address("address", &mut platform.address);
+    reader.millis("timeout_ms", 10..=60_000, &mut platform.timeout);
+}
+
+fn read_lease(lease: &mut Lease, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["length_ms", "renew_ms", "drift_ppm", "settle_ms"], None);
+    reader.millis("length_ms", 30..=60_000, &mut lease.length);
+    reader.millis("renew_ms", 10..=20_000, &mut lease.renew);
+    reader.number(
+        "drift_ppm",
+        0..=200_000,
+        " parts per million",
+        &mut lease.drift_ppm,
+    );
+    reader.millis("settle_ms", 0..=10_000, &mut lease.settle);
+    if lease.renew * RENEWALS_PER_LEASE > lease.length {
+        let message = format!(
+            "renew_ms = {} is more than a third of length_ms = {}: expected at most {}",
+            lease.renew.as_millis(),
+            lease.length.as_millis(),
+            (lease.length / RENEWALS_PER_LEASE).as_millis(),
+        );
+        reader.contradiction("renew_ms", message);
+    }
+}
+
+fn read_limits(limits: &mut Limits, reader: &mut Reader<'_, '_>) {
+    let keys = [
+        "max_header_bytes",
+        "max_body_bytes",
+        "queue_length",
+        "connections",
+        "requests",
+        "ping_after_ms",
+        "ping_timeout_ms",
+    ];
+    reader.check_keys(&keys, None);
+    reader.number(
+        "max_header_bytes",
+        1 << 10..=512 << 10,
+        " bytes",
+        &mut limits.max_header_bytes,
+    );
+    reader.number(
+        "max_body_bytes",
+        0..=1 << 40,
+        " bytes",
+        &mut limits.max_body_bytes,
+    );
+    reader.number("queue_length", 1..=1_000_000, "", &mut limits.queue_length);
+    reader.number("connections", 1..=1_000_000, "", &mut limits.connections);
+    reader.number("requests", 1..=1_000_000, "", &mut limits.requests);
+    reader.millis("ping_after_ms", 10..=60_000, &mut limits.ping_after);
+    reader.millis("ping_timeout_ms", 10..=60_000, &mut limits.ping_timeout);
+}
+
+fn read_secret(secret: &mut Secret, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["peers", "operators"], None);
+    read_one_secret("peers", &mut secret.peers, reader);
+    read_one_secret("operators", &mut secret.operators, reader);
+}
+
+fn read_one_secret(key: &str, into: &mut String, reader: &mut Reader<'_, '_>) {
+    let expected = format!("{MIN_SECRET} to {MAX_SECRET} printable ASCII characters, no spaces");
+    let Some(entry) = reader.entry(key) else {
+        return reader.missing(key, expected);
+    };
+    let length = MIN_SECRET..=MAX_SECRET;
+    let printable = entry.value.bytes().all(|b| b.is_ascii_graphic());
+    if printable && length.contains(&entry.value.len()) {
+        *into = entry.value.clone();
+    } else {
+        reader.fault(entry, Problem::InvalidSecret { expected });
+    }
+}
+
+fn read_log(log: &mut Log, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["level"], Some(LEVEL_PREFIX));
+    for entry in reader.entries() {
+        let module = entry.key.strip_prefix(LEVEL_PREFIX);
+        if module.is_none() && entry.key != "level" {
+            continue;
+        }
+        if !LEVELS.contains(&entry.value.as_str()) {
+            reader.invalid_word(entry, &LEVELS);
+            continue;
+        }
+        match module {
+            // A colon separates key and value in INI, so module paths are written with dots.
+            Some(module) => log
+                .modules
+                .push((module.replace('.', "::"), entry.value.clone())),
+            None => log.level = entry.value.clone(),
+        }
+    }
+}
+
+/// Checks the addresses against each other.
+fn check_addresses(settings: &Settings, reader: &mut Reader<'_, '_>) {
+    let listen = &settings.listen;
+    if !listen.announce.ip().is_loopback() {
+        let message = format!(
+            "{} is not a loopback address such as 127.0.0.1",
+            listen.announce
+        );
+        reader.contradiction("announce", message);
+    }
+    check_advertised(listen, reader);
+    let ports = [
+        ("callers", listen.callers),
+        ("peers", listen.peers),
+        ("operators", listen.operators),
+        ("announce", listen.announce),
+    ];
+    for (at, (key, address)) in ports.iter().enumerate() {
+        if !is_given(reader, key, *address) {
+            continue;
+        }
+        for (other_key, other) in &ports[..at] {
+            if is_given(reader, other_key, *other) && overlap(*address, *other) {
+                let message = format!("{address} is taken by {other_key} = {other}");
+                reader.contradiction(key, message);
+            }
+        }
+        if *address == settings.platform.address {
+            reader.contradiction(
+                key,
+                format!("{address} is the address of the platform service"),
+            );
+        }
+    }
+}
+
+/// Returns whether the text gives this address; a default in place of a faulty value is not
+/// compared with others.
+fn is_given(reader: &Reader<'_, '_>, key: &str, address: SocketAddr) -> bool {
+    reader
+        .entry(key)
+        .is_some_and(|e| e.value.parse() == Ok(address))
+}
+
+/// Other daemons connect to the advertised address, which therefore names one VM.
+fn check_advertised(listen: &Listen, reader: &mut Reader<'_, '_>) {
+    match listen.peers_advertised {
+        None if listen.peers.ip().is_unspecified() => {
+            let message = format!("{} needs peers_advertised = ip:port", listen.peers);
+            reader.contradiction("peers", message);
+        }
+        Some(address) if address.ip().is_unspecified() => {
+            let message = format!("{address} is not an address that others can connect to");
+            reader.contradiction("peers_advertised", message);
+        }
+        _ => {}
+    }
+}
+
+/// Returns whether two addresses cannot both be bound.
+fn overlap(a: SocketAddr, b: SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() == b.port() && (any || a.ip() == b.ip())
+}
--- /dev/null
+++ b/crates/config/src/text.rs
@@ -0,0 +1,146 @@
+//! Splits an INI text into sections and entries with their lines.
+//!
+//! rust-ini reports no lines and lets keys, quoted values and backslashes run over line ends. Each
+//! line is therefore checked by itself first; only lines that stand alone reach the library.
+
+use ini::{Ini, ParseOption};
+
+use crate::fault::{Faults, Problem};
+
+/// Largest settings or configuration text, in bytes. The platform's service stores values up to
+/// 1 MB, and a peer sends the configuration and the table in one message of at most 1 MB.
+pub const MAX_TEXT_BYTES: usize = 256 << 10;
+
+/// One section.
+#[derive(Debug)]
+pub(crate) struct Section {
+    pub name: String,
+    pub line: usize,
+    pub entries: Vec<Entry>,
+}
+
+/// One key with its value.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub key: String,
+    pub value: String,
+    pub line: usize,
+}
+
+/// Lines of one section and of its entries.
+struct Lines {
+    section: usize,
+    entries: Vec<usize>,
+}
+
+/// Returns the sections in the order of the text. Malformed lines become faults and are left out.
+pub(crate) fn split(text: &str, faults: &mut Faults<'_>) -> Vec<Section> {
+    if text.len() > MAX_TEXT_BYTES {
+        faults.push(0, "", "", Problem::TooLong(text.len()));
+        return Vec::new();
+    }
+    let (clean, lines) = check_lines(text, faults);
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    match Ini::load_from_str_opt(&clean, options) {
+        Ok(ini) => join(&ini, &lines),
+        Err(e) => {
+            faults.push(e.line, "", "", Problem::MalformedLine);
+            Vec::new()
+        }
+    }
+}
+
+/// Returns the text without malformed lines and comments, and the lines of what is left.
+fn check_lines(text: &str, faults: &mut Faults<'_>) -> (String, Vec<Lines>) {
+    let mut clean = String::with_capacity(text.len());
+    let mut lines: Vec<Lines> = Vec::new();
+    for (index, raw) in text.lines().enumerate() {
+        let number = index + 1;
+        let line = raw.trim();
+        match (shape(line), lines.last_mut()) {
+            (Shape::Empty, _) => continue,
+            (Shape::Section, _) => lines.push(Lines {
+                section: number,
+                entries: Vec::new(),
+            }),
+            (Shape::Entry, Some(section)) => section.entries.push(number),
+            (Shape::Entry, None) => {
+                faults.push(number, "", "", Problem::OutsideSection);
+                continue;
+            }
+            (Shape::Malformed, _) => {
+                faults.push(number, "", "", Problem::MalformedLine);
+                continue;
+            }
+        }
+        clean.push_str(line);
+        clean.push('\n');
+    }
+    (clean, lines)
+}
+
+/// What one line is.
+enum Shape {
+    Empty,
+    Section,
+    Entry,
+    Malformed,
+}
+
+fn shape(line: &str) -> Shape {
+    if line.is_empty() || line.starts_with([';', '#']) {
+        return Shape::Empty;
+    }
+    if line.chars().any(|c| c.is_control() && c != '\t') || line.ends_with('\\') {
+        return Shape::Malformed;
+    }
+    if let Some(rest) = line.strip_prefix('[') {
+        return match rest.split_once(']') {
+            Some((name, tail)) if !name.contains('\\') && is_blank(tail) => Shape::Section,
+            _ => Shape::Malformed,
+        };
+    }
+    match line.split_once(['=', ':']) {
+        Some((key, _)) if is_key(key.trim()) => Shape::Entry,
+        _ => Shape::Malformed,
+    }
+}
+
+/// Returns whether nothing but a comment follows.
+fn is_blank(tail: &str) -> bool {
+    let tail = tail.trim();
+    tail.is_empty() || tail.starts_with([';', '#'])
+}
+
+fn is_key(key: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'-' | b'.');
+    !key.is_empty() && key.bytes().all(allowed)
+}
+
+/// Gives the sections and entries of the library their lines; both are in the order of the text.
+fn join(ini: &Ini, lines: &[Lines]) -> Vec<Section> {
+    let named = ini
+        .iter()
+        .filter_map(|(name, entries)| Some((name?, entries)));
+    let join_entries = |(key, value): (&str, &str), line: &usize| Entry {
+        key: key.into(),
+        value: value.into(),
+        line: *line,
+    };
+    named
+        .zip(lines)
+        .map(|((name, entries), lines)| Section {
+            name: name.split_whitespace().collect::<Vec<_>>().join(" "),
+            line: lines.section,
+            entries: entries
+                .iter()
+                .zip(&lines.entries)
+                .map(|(entry, line)| join_entries(entry, line))
+                .collect(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/config/tests/deployment.rs
@@ -0,0 +1,178 @@
+//! Deployment configuration: valid texts, every kind of fault, canonical text and differences.
+
+use googletest::prelude::*;
+use masticdeal_config::deployment::{Deployment, KeySource};
+use masticdeal_config::diff::{check_change, check_shards, diff};
+use proptest::prelude::*;
+
+const KOCAELI: &str = include_str!("../../../examples/kocaeli.ini");
+const HANOI: &str = include_str!("../../../examples/hanoi.ini");
+
+/// One change of the valid example, and what a fault must say about it.
+struct Case {
+    from: &'static str,
+    to: &'static str,
+    says: &'static [&'static str],
+}
+
+const fn case(from: &'static str, to: &'static str, says: &'static [&'static str]) -> Case {
+    Case { from, to, says }
+}
+
+#[rustfmt::skip]
+const CASES: &[Case] = &[
+    case("shards = 256", "shards = 200", &["line 5", "[service search] shards", "power of two"]),
+    case("shards = 256", "shards = 131072", &["shards", "1 to 65536"]),
+    case("shards = 256", "", &["[service search] shards: missing"]),
+    case("key = path 2", "", &["[service search] key: missing", "query NAME"]),
+    case("key = path 2", "key = path 0", &["`path 0`", "N from 1 to 32"]),
+    case("key = path 2", "key = cookie id", &["`cookie id`", "header NAME"]),
+    case("divided = yes", "divided = no", &["shards: only valid with divided = yes"]),
+    case("divided = yes", "divided = maybe", &["`maybe`", "yes or no"]),
+    case("paths = /search/", "", &["line 2", "paths: missing"]),
+    case("paths = /search/", "paths = search", &["paths: `search`", "/search/"]),
+    case("paths = /search/", "paths = ,", &["paths"]),
+    case("paths = /search/", "paths = /a/../b", &["paths: `/a/../b`"]),
+    case("paths = /search/", "paths = /documents/", &["line 21", "already given by [service search]"]),
+    case("paths = /search/", "paths = /a, /a", &["path /a is already given by"]),
+    case("POST, PATCH", "POST, PATHC", &["non_idempotent", "did you mean `PATCH`?"]),
+    case("deadline_ms = 2000", "deadline_ms = 0", &["deadline_ms", "1 to 3600000"]),
+    case("deadline_ms = 2000", "deadline = 2000", &["did you mean `deadline_ms`?"]),
+    case("long_share = 0.5", "long_share = 0", &["long_share", "0.01 to 1"]),
+    case("long_share = 0.5", "long_share = NaN", &["long_share", "`NaN`"]),
+    case("retry_budget = 0.1", "retry_budget = 1.5", &["retry_budget", "0 to 1"]),
+    case("queue_length = 200", "queue_length = 0", &["queue_length", "1 to 1000000"]),
+    case("targets_check_grants = no", "targets_check_grants = true", &["yes or no"]),
+    case("[service search]", "[service registration]", &["given more than once; first at line 2"]),
+    case("[service search]", "[service rules]", &["other than `rules`"]),
+    case("[service search]", "[service se arch]", &["`se arch`", "letters"]),
+    case("[service search]", "[servise search]", &["did you mean `service`?"]),
+    case("[rules]", "[rule]", &["did you mean `rules`?"]),
+    case("max_draining = 1", "max_draining = 0", &["[rules] max_draining", "1 to 10000"]),
+    case("imbalance_tolerance = 0.15", "imbalance = 1", &["imbalance", "moves_per_round"]),
+    case("[rules]", "[service x]\npaths = /x\ndivided = yes\nshards = 65536\nkey = path 2\n[rules]", &["65792 shards in all services exceed the limit of 65536"]),
+];
+
+fn parse(text: &str) -> Deployment {
+    Deployment::parse(text).unwrap()
+}
+
+#[gtest]
+fn examples_are_valid() {
+    let kocaeli = parse(KOCAELI);
+    expect_that!(
+        kocaeli.service("search").unwrap().key,
+        some(eq(&KeySource::Path(2)))
+    );
+    expect_that!(kocaeli.service("documents").unwrap().shards, eq(0));
+    expect_that!(parse(HANOI).services, len(eq(3)));
+}
+
+#[gtest]
+fn each_fault_is_named_with_its_place() {
+    for case in CASES {
+        let text = KOCAELI.replacen(case.from, case.to, 1);
+        let faults = Deployment::parse(&text).err().unwrap_or_default();
+        let found: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let matched = found
+            .iter()
+            .any(|fault| case.says.iter().all(|s| fault.contains(s)));
+        expect_that!(
+            matched,
+            eq(true),
+            "{:?} -> {:?}: {found:#?}",
+            case.from,
+            case.to
+        );
+    }
+}
+
+#[gtest]
+fn canonical_text_reads_back_to_the_same_value() {
+    for text in [KOCAELI, HANOI, ""] {
+        let deployment = parse(text);
+        let canonical = deployment.to_string();
+        expect_that!(parse(&canonical), eq(&deployment));
+        expect_that!(parse(&canonical).to_string(), eq(&canonical));
+    }
+}
+
+#[gtest]
+fn differences_name_service_key_and_values() {
+    let old = parse(KOCAELI);
+    let text = KOCAELI
+        .replace("deadline_ms = 2000", "deadline_ms = 900")
+        .replace("[service documents]", "[service sheets]")
+        .replace("max_draining = 1", "max_draining = 2")
+        .replace("key = path 2", "key = query id");
+    let found = check_change(&old, &parse(&text)).unwrap();
+    let shown: Vec<String> = found.iter().map(ToString::to_string).collect();
+    let expected = [
+        "search.key: path 2 -> query id",
+        "search.deadline_ms: 2000 -> 900",
+        "service sheets added",
+        "service documents removed",
+        "rules.max_draining: 1 -> 2",
+    ];
+    expect_that!(shown, eq(&expected.map(String::from)));
+    expect_that!(found[0].effect(), some(contains_substring("new key")));
+    expect_that!(diff(&old, &parse(&old.to_string())), is_empty());
+}
+
+/// Guards against a change that gives a key another shard, and so another owner without a move.
+#[gtest]
+fn number_of_shards_of_a_known_service_cannot_change() {
+    let old = parse(KOCAELI);
+    for (from, to) in [
+        ("shards = 256", "shards = 128"),
+        ("shards = 256", "shards = 512"),
+        ("divided = yes\nshards = 256\nkey = path 2", "divided = no"),
+    ] {
+        let new = parse(&KOCAELI.replace(from, to));
+        let faults = check_change(&old, &new).unwrap_err();
+        let text = faults[0].to_string();
+        expect_that!(
+            text,
+            contains_substring("[service search] shards: cannot change from 256")
+        );
+        expect_that!(text, contains_substring("keys would change shard"));
+    }
+    // A service that was removed stays in the table, and returns with the same number of shards.
+    expect_that!(check_shards([("search", 512)], &old), err(anything()));
+    expect_that!(
+        check_shards([("search", 256), ("gone", 64)], &old),
+        ok(anything())
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Arbitrary bytes never panic; what is accepted survives its canonical text.
+    #[test]
+    fn arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        check_text(&String::from_utf8_lossy(&bytes))?;
+    }
+
+    /// The same for a valid text with one span overwritten, which reaches the deeper checks.
+    #[test]
+    fn damaged_example(at in 0..KOCAELI.len(), junk in "[\\[\\]=;#:,\\\\ a-z0-9/.%\n]{0,12}") {
+        prop_assume!(KOCAELI.is_char_boundary(at));
+        let end = (at + junk.len()).min(KOCAELI.len());
+        check_text(&format!("{}{junk}{}", &KOCAELI[..at], &KOCAELI[end..]))?;
+    }
+}
+
+fn check_text(text: &str) -> std::result::Result<(), TestCaseError> {
+    match Deployment::parse(text) {
+        Ok(deployment) => {
+            let again = Deployment::parse(&deployment.to_string());
+            prop_assert_eq!(again, Ok(deployment));
+        }
+        Err(faults) => {
+            prop_assert!(!faults.is_empty() && faults.len() <= 100);
+            prop_assert!(faults.iter().all(|f| f.to_string().len() < 1_000));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/tests/route.rs
@@ -0,0 +1,138 @@
+//! Routing of requests: path prefixes, keys and idempotence.
+
+use googletest::prelude::*;
+use masticdeal_config::deployment::{Deployment, KeySource, Service};
+
+fn deployment() -> Deployment {
+    let text =
+        "[service all]\npaths = /\n[service a]\npaths = /a\n[service ab]\npaths = /a/b/, /c\n";
+    Deployment::parse(text).unwrap()
+}
+
+#[gtest]
+fn longest_prefix_of_whole_segments_wins() {
+    let deployment = deployment();
+    for (path, service) in [
+        ("/", "all"),
+        ("/a", "a"),
+        ("/a/", "a"),
+        ("/a/b", "a"),
+        ("/a/b/", "ab"),
+        ("/a/b/c", "ab"),
+        ("/ab", "all"),
+        ("/c/d", "ab"),
+        ("/cd", "all"),
+    ] {
+        let found = deployment.route(path).map(|s| s.name.as_str());
+        expect_that!(found, some(eq(service)), "{path}");
+    }
+    expect_that!(deployment.route("a"), none());
+    expect_that!(Deployment::default().route("/"), none());
+}
+
+/// A request and the key that the router must read from it.
+struct Case {
+    key: &'static str,
+    path: &'static str,
+    query: Option<&'static str>,
+    expect: Option<&'static str>,
+}
+
+const fn case(
+    key: &'static str,
+    path: &'static str,
+    query: Option<&'static str>,
+    expect: Option<&'static str>,
+) -> Case {
+    Case {
+        key,
+        path,
+        query,
+        expect,
+    }
+}
+
+#[rustfmt::skip]
+const KEYS: &[Case] = &[
+    case("path", "/search/4711", None, Some("4711")),
+    case("path", "/search/4711/sheet", None, Some("4711")),
+    case("path", "/search/a%2Fb%20c", None, Some("a/b c")),
+    case("path", "/search/a+b", None, Some("a+b")),
+    case("path", "/search/%C3%A9", None, Some("é")),
+    case("path", "/search/%C3", None, None),
+    case("path", "/search/%4", None, None),
+    case("path", "/search/%zz", None, None),
+    case("path", "/search/", None, None),
+    case("path", "/search", None, None),
+    case("path", "/search//4711", None, None),
+    // A target that resolves dot segments would read another key.
+    case("path", "/search/4711/../4712", None, None),
+    case("path", "/search/4711/%2E%2e", None, None),
+    case("path", "/search/.", None, None),
+    case("path", "/search/...", None, Some("...")),
+    case("path", "/search/.a", None, Some(".a")),
+    case("query", "/search", Some("id=4711"), Some("4711")),
+    case("query", "/search", Some("x=1&id=a+b%2B"), Some("a b+")),
+    case("query", "/search", Some("i%64=7"), Some("7")),
+    case("query", "/search", Some("id="), None),
+    case("query", "/search", Some("id"), None),
+    case("query", "/search", Some("ids=1&xid=2"), None),
+    case("query", "/search", None, None),
+    // Targets differ in which of two parameters they read.
+    case("query", "/search", Some("id=1&id=2"), None),
+    case("query", "/search", Some("id=1&%69d=2"), None),
+    case("header", "/search", None, Some("h-1")),
+];
+
+#[gtest]
+fn key_is_read_where_the_service_says() {
+    for case in KEYS {
+        let key = match case.key {
+            "path" => KeySource::Path(2),
+            "query" => KeySource::Query("id".into()),
+            _ => KeySource::Header("x-key".into()),
+        };
+        let service = Service {
+            key: Some(key),
+            shards: 4,
+            ..Service::default()
+        };
+        let header = |name: &str| (name == "x-key").then_some(" h-1 ");
+        let found = service.key_of(case.path, case.query, header);
+        expect_that!(
+            found.as_deref(),
+            eq(case.expect),
+            "{} {:?}",
+            case.path,
+            case.query
+        );
+    }
+    expect_that!(
+        Service::default().key_of("/search/1", None, |_| None),
+        none()
+    );
+}
+
+#[gtest]
+fn method_and_header_decide_idempotence() {
+    let service = Service::default();
+    for (method, header, expect) in [
+        ("GET", None, true),
+        ("PUT", None, true),
+        ("POST", None, false),
+        ("PATCH", None, false),
+        ("POST", Some("yes"), true),
+        ("POST", Some(" Yes"), true),
+        ("GET", Some("no"), false),
+        // What is not understood must not run twice.
+        ("GET", Some("maybe"), false),
+        ("PURGE", None, false),
+        ("get", None, false),
+    ] {
+        expect_that!(
+            service.is_idempotent(method, header),
+            eq(expect),
+            "{method} {header:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,166 @@
+//! Settings: valid text, every kind of fault with its place, and arbitrary bytes.
+
+use googletest::prelude::*;
+use masticdeal_config::settings::Settings;
+use proptest::prelude::*;
+
+const EXAMPLE: &str = include_str!("../../../examples/daemon.ini");
+
+/// One change of the valid example, and what a fault must say about it.
+struct Case {
+    /// Text to replace; empty to append.
+    from: &'static str,
+    to: &'static str,
+    /// Parts of one fault, with its place.
+    says: &'static [&'static str],
+}
+
+const fn case(from: &'static str, to: &'static str, says: &'static [&'static str]) -> Case {
+    Case { from, to, says }
+}
+
+#[rustfmt::skip]
+const CASES: &[Case] = &[
+    case("name = vm-1", "name = vm 1", &["daemon.ini:3: [daemon] name", "`vm 1`", "dashes"]),
+    case("name = vm-1", "nane = vm-1", &["[daemon] nane", "did you mean `name`?"]),
+    case("name = vm-1", "", &["daemon.ini:2: [daemon] name: missing"]),
+    case("region = marmara", "region =", &["[daemon] region", "`` is not valid"]),
+    case("region = marmara", "region = a\nregion = b", &["region: given more than once", "line 4"]),
+    case("drain_ms = 120000", "drain_ms = 2m", &["`2m`", "from 0 to 3600000 milliseconds"]),
+    case("127.0.0.1:7000", "localhost:7000", &["[listen] callers", "ip:port"]),
+    case("127.0.0.1:7000", "127.0.0.1:0", &["[listen] callers", "port from 1 to 65535"]),
+    case("127.0.0.1:7000", "127.0.0.1:7001", &["peers: 127.0.0.1:7001 is taken by callers"]),
+    case("127.0.0.1:7000", "0.0.0.0:7002", &["operators: 127.0.0.1:7002 is taken by callers"]),
+    case("127.0.0.1:7000", "127.0.0.1:7100", &["callers", "address of the platform service"]),
+    case("127.0.0.1:7001", "0.0.0.0:7001", &["[listen] peers", "needs peers_advertised"]),
+    case("127.0.0.1:7003", "10.0.0.1:7003", &["announce", "not a loopback address"]),
+    case("callers = 127.0.0.1:7000", "", &["[listen] callers: missing"]),
+    case("timeout_ms = 500", "timeout_ms = 5", &["[platform] timeout_ms", "10 to 60000"]),
+    case("renew_ms = 150", "renew_ms = 151", &["renew_ms", "third", "at most 150"]),
+    case("length_ms = 450", "length_ms = 0", &["length_ms", "`0`", "30 to 60000"]),
+    case("drift_ppm = 20000", "drift_ppm = -1", &["drift_ppm", "`-1`", "parts per million"]),
+    case("connections = 4096", "connections = 0", &["connections", "1 to 1000000"]),
+    case("requests = 8192", "request = 8192", &["did you mean `requests`?"]),
+    case("peers = replace-this-peer-secret", "peers =", &["[secret] peers", "16 to 256"]),
+    case("peers = replace-this-peer-secret", "", &["[secret] peers: missing"]),
+    case("level = info", "level = inform", &["[log] level", "did you mean `info`?"]),
+    case("control = debug", "control = loud", &["level.masticdeald.control", "trace"]),
+    case("[log]", "[logs]", &["[logs]: unknown section: did you mean `log`?"]),
+    case("[lease]", "[lease", &["daemon.ini:18: malformed line"]),
+    case("[lease]", "[daemon]", &["[daemon]: given more than once; first at line 2"]),
+    case("[platform]", "[limits]", &["[platform]: missing: expected section [platform]"]),
+    case("; Settings", "stray = 1\n;", &["daemon.ini:1: key before the first section"]),
+    case("level = info", "level info", &["malformed line"]),
+    case("level = info", "level = info\\", &["malformed line"]),
+];
+
+fn faults(text: &str) -> Vec<String> {
+    match Settings::parse(text, "daemon.ini") {
+        Ok(_) => Vec::new(),
+        Err(faults) => faults.iter().map(ToString::to_string).collect(),
+    }
+}
+
+#[gtest]
+fn example_is_valid() {
+    let settings = Settings::parse(EXAMPLE, "daemon.ini").unwrap();
+    expect_that!(settings.daemon.name, eq("vm-1"));
+    expect_that!(settings.lease.renew.as_millis(), eq(150));
+    expect_that!(settings.secret.peers, eq("replace-this-peer-secret"));
+    let module = ("masticdeald::control".to_owned(), "debug".to_owned());
+    expect_that!(settings.log.modules, eq(&vec![module]));
+}
+
+#[gtest]
+fn each_fault_is_named_with_its_place() {
+    for case in CASES {
+        let text = EXAMPLE.replacen(case.from, case.to, 1);
+        let found = faults(&text);
+        let matched = found
+            .iter()
+            .any(|fault| case.says.iter().all(|s| fault.contains(s)));
+        expect_that!(
+            matched,
+            eq(true),
+            "{:?} -> {:?}: {found:#?}",
+            case.from,
+            case.to
+        );
+    }
+}
+
+/// Guards against a reader that stops at the first fault and sends the operator round again.
+#[gtest]
+fn all_faults_are_reported_at_once() {
+    let text = EXAMPLE
+        .replace("name = vm-1", "name =")
+        .replace("timeout_ms = 500", "timeout_ms = x")
+        .replace("[lease]", "[leases]")
+        .replace("level = info", "level = x");
+    expect_that!(faults(&text), len(eq(4)));
+}
+
+/// Guards against secrets in a log: a mistyped secret must not be repeated, wherever it stands.
+#[gtest]
+fn no_fault_repeats_a_secret() {
+    let lines = [
+        "peers = hunter2",
+        "hunter2",
+        "hunter2=",
+        "hunter2 = peers",
+        "peers hunter2==",
+        "peers: hunter2 x",
+        "peers = \u{e9}hunter2hunter2hunter2",
+        "peers = aaaaaaaaaaaaaaaaaaaa hunter2",
+        "peer = hunter2hunter2hunter2",
+        "[hunter2",
+        "[peers] = hunter2",
+    ];
+    for line in lines {
+        let text = EXAMPLE.replace("peers = replace-this-peer-secret", line);
+        let found = faults(&text);
+        expect_that!(found, not(is_empty()), "{line}");
+        expect_that!(
+            found.join("\n"),
+            not(contains_substring("hunter2")),
+            "{line}"
+        );
+    }
+    let settings = Settings::parse(EXAMPLE, "").unwrap();
+    expect_that!(
+        format!("{settings:?}"),
+        not(contains_substring("replace-this"))
+    );
+}
+
+#[gtest]
+fn report_is_bounded() {
+    let many = "x\n".repeat(10_000);
+    expect_that!(faults(&many).len(), le(100));
+    let huge = "x".repeat(masticdeal_config::MAX_TEXT_BYTES + 1);
+    expect_that!(faults(&huge)[0], contains_substring("exceeds the limit"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Arbitrary bytes never panic, and each refusal says something.
+    #[test]
+    fn arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        let text = String::from_utf8_lossy(&bytes);
+        let found = faults(&text);
+        prop_assert!(!found.is_empty() && found.iter().all(|f| f.len() > 10 && f.len() < 1_000));
+    }
+
+    /// A valid text with one span overwritten either reads or is refused with a fault; a faulty
+    /// secret stays out of the report.
+    #[test]
+    fn damaged_example(at in 0..EXAMPLE.len(), junk in "[\\[\\]=;#:\\\\ a-z0-9\n\"']{0,12}") {
+        prop_assume!(EXAMPLE.is_char_boundary(at));
+        let end = (at + junk.len()).min(EXAMPLE.len());
+        let text = format!("{}{junk}{}", &EXAMPLE[..at], &EXAMPLE[end..]);
+        for fault in faults(&text) {
+            prop_assert!(!fault.contains("this-peer-secret"), "{fault}");
+        }
+    }
+}
