Add the platform stand-in

The daemon needs a key-value service on loopback to run against, with the faults of the design page: refused or hanging service, delay, lost answers and writes that take effect late.

Revisions come from one counter, so a key that vanishes with its lease never repeats one. A PUT under a lapsed lease answers 404. A watch on a vanished key waits on, since section 8 knows only 200 and 204.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins, load tool and failure runs.
+//!
+//! The stand-ins speak the protocols of the design page and nothing else, so that a daemon cannot
+//! tell them from the real services. Records of callers and targets are JSON lines; [`records`]
+//! compares them after a run.
+
+pub mod http1;
+pub mod platform;
+pub mod store;
--- /dev/null
+++ b/crates/bench/src/platform.rs
@@ -0,0 +1,331 @@
+//! HTTP service of the platform stand-in, with faults on demand.
+//!
+//! Faults are drawn from a seeded generator, one draw per write and fault, so that a run with one
+//! connection repeats exactly. A fault never changes what the store holds apart from when a late
+//! write takes effect.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use masticdeal_wire::headers;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::http1::{self, Body, Error, Result, answer};
+use crate::store::{MAX_VALUE_BYTES, Put, Store, Value};
+
+/// Faults in force, the body of `POST /control/fault`. The default is none.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fault {
+    /// Whether and how the service is away.
+    pub down: Down,
+    /// Delay of every call before it takes effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of the writes that take effect and have no answer.
+    pub lose_answers: f64,
+    /// Share of the writes that have no answer and take effect later, if they still can.
+    pub late_writes: f64,
+    /// Longest delay of a late write in milliseconds.
+    pub late_ms: u64,
+    /// Seed of the draws; 0 keeps the running generator.
+    pub seed: u64,
+}
+
+/// Whether and how the service is away.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Down {
+    /// It answers.
+    #[default]
+    No,
+    /// It closes connections.
+    Refuse,
+    /// It keeps connections open and answers nothing.
+    Hang,
+}
+
+/// Calls by kind since the start, the body of `GET /control/stats`. A pending watch counts once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Reads.
+    pub get: u64,
+    /// Conditional writes.
+    pub swap: u64,
+    /// Watches.
+    pub watch: u64,
+    /// Lease grants, renewals and revocations.
+    pub lease: u64,
+    /// Bytes of values written and read.
+    pub bytes: u64,
+}
+
+impl Stats {
+    /// Returns the sum over all kinds.
+    pub fn calls(&self) -> u64 {
+        self.get + self.swap + self.watch + self.lease
+    }
+}
+
+struct Shared {
+    start: Instant,
+    store: Mutex<Store>,
+    stats: Mutex<Stats>,
+    rng: Mutex<StdRng>,
+    fault: watch::Sender<Fault>,
+    changes: watch::Sender<u64>,
+}
+
+/// What happens to the answer of a write.
+enum Fate {
+    Answered,
+    Lost,
+    Late(Duration),
+}
+
+/// Serves the platform protocol until the future is dropped.
+pub async fn serve(listener: TcpListener, seed: u64) {
+    let shared = Arc::new(Shared {
+        start: Instant::now(),
+        store: Mutex::default(),
+        stats: Mutex::default(),
+        rng: Mutex::new(StdRng::seed_from_u64(seed)),
+        fault: watch::Sender::new(Fault::default()),
+        changes: watch::Sender::new(0),
+    });
+    http1::serve(listener, move |req| handle(shared.clone(), req)).await;
+}
+
+async fn handle(cx: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>> {
+    if req.uri().path().starts_with("/control/") {
+        return Ok(control(&cx, req).await);
+    }
+    cx.count(&req);
+    let mut fault = cx.fault.subscribe();
+    tokio::select! {
+        res = serve_call(&cx, req) => res,
+        e = went_down(&mut fault) => Err(e),
+    }
+}
+
+/// Waits until the service is away, and then until the connection is to be closed.
+async fn went_down(fault: &mut watch::Receiver<Fault>) -> Error {
+    let down = fault.wait_for(|f| f.down != Down::No).await;
+    let hang = down.is_ok_and(|f| f.down == Down::Hang);
+    if hang {
+        let _ = fault.wait_for(|f| f.down != Down::Hang).await;
+    }
+    Error::Dropped
+}
+
+async fn serve_call(cx: &Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>> {
+    let delay = cx.fault.borrow().delay_ms;
+    // Gives `went_down` its turn before the call can take effect.
+    tokio::task::yield_now().await;
+    if cx.fault.borrow().down != Down::No {
+        std::future::pending::<()>().await;
+    }
+    if delay > 0 {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+    let path = req.uri().path().to_owned();
+    let (method, path) = (req.method().clone(), path.as_str());
+    if let Some(key) = path.strip_prefix("/v1/kv/") {
+        return match method {
+            Method::GET => Ok(cx.get(key)),
+            Method::PUT => put(cx, key, req).await,
+            _ => Ok(answer(StatusCode::METHOD_NOT_ALLOWED, "")),
+        };
+    }
+    if let Some(key) = path.strip_prefix("/v1/watch/") {
+        return Ok(watch_key(cx, key, &req).await);
+    }
+    if path == "/v1/lease" && method == Method::POST {
+        return Ok(cx.grant(&req));
+    }
+    if let Some(id) = path.strip_prefix("/v1/lease/") {
+        return Ok(cx.lease(&method, id));
+    }
+    Ok(answer(StatusCode::NOT_FOUND, ""))
+}
+
+async fn put(cx: &Arc<Shared>, key: &str, req: Request<Incoming>) -> Result<Response<Body>> {
+    let Some(expect) = http1::number(req.headers(), headers::IF_REVISION) else {
+        return Ok(answer(StatusCode::BAD_REQUEST, "x-if-revision is missing"));
+    };
+    let lease = match http1::text(req.headers(), headers::LEASE).map(str::parse) {
+        None => None,
+        Some(Ok(id)) => Some(id),
+        Some(Err(_)) => return Ok(answer(StatusCode::BAD_REQUEST, "x-lease is malformed")),
+    };
+    let Some(bytes) = http1::read_body(req.into_body(), MAX_VALUE_BYTES).await else {
+        return Ok(answer(StatusCode::PAYLOAD_TOO_LARGE, ""));
+    };
+    match cx.fate() {
+        Fate::Answered => Ok(cx.put(key, expect, bytes, lease)),
+        Fate::Lost => {
+            cx.put(key, expect, bytes, lease);
+            Err(Error::Dropped)
+        }
+        Fate::Late(delay) => {
+            let (cx, key) = (cx.clone(), key.to_owned());
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                cx.put(&key, expect, bytes, lease);
+            });
+            Err(Error::Dropped)
+        }
+    }
+}
+
+async fn watch_key(cx: &Shared, key: &str, req: &Request<Incoming>) -> Response<Body> {
+    let param = |name| http1::query(req.uri(), name).and_then(|v| v.parse::<u64>().ok());
+    let (Some(after), Some(wait_ms)) = (param("after"), param("wait_ms")) else {
+        return answer(StatusCode::BAD_REQUEST, "after or wait_ms is missing");
+    };
+    let mut changes = cx.changes.subscribe();
+    let newer = async {
+        loop {
+            changes.borrow_and_update();
+            let value = cx.store().get(cx.now(), key);
+            if let Some(value) = value.filter(|v| v.revision > after) {
+                return value;
+            }
+            let _ = changes.changed().await;
+        }
+    };
+    match tokio::time::timeout(Duration::from_millis(wait_ms), newer).await {
+        Ok(value) => cx.value(value),
+        Err(_) => answer(StatusCode::NO_CONTENT, ""),
+    }
+}
+
+async fn control(cx: &Shared, req: Request<Incoming>) -> Response<Body> {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/control/stats") => {
+            let stats = serde_json::to_vec(&*cx.stats.lock().unwrap()).unwrap_or_default();
+            answer(StatusCode::OK, stats)
+        }
+        (&Method::POST, "/control/fault") => set_fault(cx, req).await,
+        _ => answer(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+async fn set_fault(cx: &Shared, req: Request<Incoming>) -> Response<Body> {
+    let body = http1::read_body(req.into_body(), MAX_VALUE_BYTES).await;
+    match serde_json::from_slice::<Fault>(&body.unwrap_or_default()) {
+        Ok(fault) => {
+            if fault.seed != 0 {
+                *cx.rng.lock().unwrap() = StdRng::seed_from_u64(fault.seed);
+            }
+            cx.fault.send_replace(fault);
+            answer(StatusCode::OK, "")
+        }
+        Err(e) => answer(StatusCode::BAD_REQUEST, e.to_string()),
+    }
+}
+
+impl Shared {
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn store(&self) -> std::sync::MutexGuard<'_, Store> {
+        self.store.lock().unwrap()
+    }
+
+    fn count(&self, req: &Request<Incoming>) {
+        let mut stats = self.stats.lock().unwrap();
+        let path = req.uri().path();
+        let counter = if path.starts_with("/v1/watch/") {
+            &mut stats.watch
+        } else if path.starts_with("/v1/lease") {
+            &mut stats.lease
+        } else if req.method() == Method::PUT {
+            &mut stats.swap
+        } else {
+            &mut stats.get
+        };
+        *counter += 1;
+    }
+
+    fn add_bytes(&self, bytes: usize) {
+        self.stats.lock().unwrap().bytes += bytes as u64;
+    }
+
+    fn fate(&self) -> Fate {
+        let (late, late_ms, lose) = {
+            let fault = self.fault.borrow();
+            (fault.late_writes, fault.late_ms, fault.lose_answers)
+        };
+        let mut rng = self.rng.lock().unwrap();
+        if rng.random::<f64>() < late {
+            Fate::Late(Duration::from_millis(rng.random_range(0..=late_ms)))
+        } else if rng.random::<f64>() < lose {
+            Fate::Lost
+        } else {
+            Fate::Answered
+        }
+    }
+
+    fn get(&self, key: &str) -> Response<Body> {
+        let value = self.store().get(self.now(), key);
+        match value {
+            Some(value) => self.value(value),
+            None => answer(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    fn value(&self, value: Value) -> Response<Body> {
+        self.add_bytes(value.bytes.len());
+        with_revision(answer(StatusCode::OK, value.bytes), value.revision)
+    }
+
+    fn put(&self, key: &str, expect: u64, bytes: Bytes, lease: Option<u64>) -> Response<Body> {
+        self.add_bytes(bytes.len());
+        let put = self.store().put(self.now(), key, expect, bytes, lease);
+        match put {
+            Put::Done(revision) => {
+                self.changes.send_replace(revision);
+                with_revision(answer(StatusCode::OK, ""), revision)
+            }
+            Put::Conflict(revision) => with_revision(answer(StatusCode::CONFLICT, ""), revision),
+            Put::NoLease => answer(StatusCode::NOT_FOUND, "lease has lapsed"),
+        }
+    }
+
+    fn grant(&self, req: &Request<Incoming>) -> Response<Body> {
+        let ttl = http1::query(req.uri(), "ttl_ms").and_then(|v| v.parse().ok());
+        let Some(ttl) = ttl else {
+            return answer(StatusCode::BAD_REQUEST, "ttl_ms is missing");
+        };
+        let id = self.store().grant(self.now(), Duration::from_millis(ttl));
+        answer(StatusCode::OK, id.to_string())
+    }
+
+    fn lease(&self, method: &Method, id: &str) -> Response<Body> {
+        let Ok(id) = id.parse() else {
+            return answer(StatusCode::NOT_FOUND, "");
+        };
+        let known = match *method {
+            Method::PUT => self.store().renew(self.now(), id),
+            Method::DELETE => self.store().revoke(self.now(), id),
+            _ => return answer(StatusCode::METHOD_NOT_ALLOWED, ""),
+        };
+        match known {
+            true => answer(StatusCode::OK, ""),
+            false => answer(StatusCode::NOT_FOUND, ""),
+        }
+    }
+}
+
+fn with_revision(mut res: Response<Body>, revision: u64) -> Response<Body> {
+    res.headers_mut().insert(headers::REVISION, revision.into());
+    res
+}
--- /dev/null
+++ b/crates/bench/src/store.rs
@@ -0,0 +1,124 @@
+//! Key-value store of the platform stand-in: revisions, leases and their lapse.
+//!
+//! Invariants: revisions come from one counter and are never used twice, so that a key that
+//! vanishes and comes back never repeats a revision; a key written under a lease is gone from the
+//! moment the lease lapses. Time is passed in.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+/// Largest value in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// A value with its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value {
+    /// Revision of the last write.
+    pub revision: u64,
+    /// The bytes.
+    pub bytes: Bytes,
+    lease: Option<u64>,
+}
+
+/// Outcome of a conditional write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Put {
+    /// Took effect under this revision.
+    Done(u64),
+    /// The key stands at another revision; 0 when it does not exist.
+    Conflict(u64),
+    /// The lease does not exist or has lapsed.
+    NoLease,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    values: HashMap<String, Value>,
+    leases: HashMap<u64, Lease>,
+    last_revision: u64,
+    last_lease: u64,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    until: Duration,
+}
+
+impl Store {
+    /// Returns the value of a key.
+    pub fn get(&mut self, now: Duration, key: &str) -> Option<Value> {
+        self.lapse(now);
+        self.values.get(key).cloned()
+    }
+
+    /// Writes a value when the key stands at revision `expect`; 0 means that it must not exist.
+    pub fn put(
+        &mut self,
+        now: Duration,
+        key: &str,
+        expect: u64,
+        bytes: Bytes,
+        lease: Option<u64>,
+    ) -> Put {
+        self.lapse(now);
+        if lease.is_some_and(|id| !self.leases.contains_key(&id)) {
+            return Put::NoLease;
+        }
+        let stands = self.values.get(key).map_or(0, |v| v.revision);
+        if stands != expect {
+            return Put::Conflict(stands);
+        }
+        self.last_revision += 1;
+        let value = Value {
+            revision: self.last_revision,
+            bytes,
+            lease,
+        };
+        self.values.insert(key.to_owned(), value);
+        Put::Done(self.last_revision)
+    }
+
+    /// Grants a lease and returns its id.
+    pub fn grant(&mut self, now: Duration, ttl: Duration) -> u64 {
+        self.last_lease += 1;
+        let until = now + ttl;
+        self.leases.insert(self.last_lease, Lease { ttl, until });
+        self.last_lease
+    }
+
+    /// Renews a lease. Returns `false` when it has lapsed.
+    pub fn renew(&mut self, now: Duration, id: u64) -> bool {
+        self.lapse(now);
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return false;
+        };
+        lease.until = now + lease.ttl;
+        true
+    }
+
+    /// Gives a lease up. Returns `false` when it had lapsed.
+    pub fn revoke(&mut self, now: Duration, id: u64) -> bool {
+        self.lapse(now);
+        let known = self.leases.remove(&id).is_some();
+        self.drop_orphans();
+        known
+    }
+
+    fn lapse(&mut self, now: Duration) {
+        let before = self.leases.len();
+        self.leases.retain(|_, lease| lease.until > now);
+        if self.leases.len() < before {
+            self.drop_orphans();
+        }
+    }
+
+    fn drop_orphans(&mut self) {
+        let leases = &self.leases;
+        self.values
+            .retain(|_, v| v.lease.is_none_or(|id| leases.contains_key(&id)));
+    }
+}
