Add the target stand-in and the record format

Runs need a target whose every start, end and cancellation can be counted after a kill. The stand-in checks grants by (session, sequence) and boot-time end, sheds beyond its queue with NotRun, drains, errs, freezes on demand, and answers with a body that its caller can check.

A key override is checked through the xxh3 hash of the second path segment, since requests carry no key hash.

--- a/crates/bench/src/http1.rs
+++ b/crates/bench/src/http1.rs
@@ -2,12 +2,13 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,9 +17,10 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 /// Body of an answer. An error closes the connection before the answer is whole.
-pub type Body = BoxBody<Bytes, std::io::Error>;
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// Largest answer that [`Client::call`] reads, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -41,7 +43,9 @@
 
 /// Returns a body that is sent in one piece.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|e| match e {}).boxed()
+    Full::new(bytes.into())
+        .map_err(|e| match e {})
+        .boxed_unsync()
 }
 
 /// Returns an answer of a status and a text.
@@ -75,21 +79,27 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// Serves HTTP/1.1 connections until the future is dropped. An error of the handler closes the
-/// connection without an answer; a caller who closes the connection drops the handler's future.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+/// Serves at most `connections` HTTP/1.1 connections at once, until the future is dropped. An error
+/// of the handler closes the connection without an answer; a caller who closes the connection
+/// drops the handler's future.
+pub async fn serve<H, F>(listener: TcpListener, connections: usize, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>>> + Send + 'static,
 {
+    let free = Arc::new(Semaphore::new(connections));
     loop {
+        let permit = free.clone().acquire_owned().await;
         let Ok((stream, _)) = listener.accept().await else {
             // Accepting fails while descriptors run out; the pause keeps the loop from spinning.
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
         let handler = handler.clone();
-        tokio::spawn(serve_connection(stream, handler));
+        tokio::spawn(async move {
+            serve_connection(stream, handler).await;
+            drop(permit);
+        });
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,5 +5,8 @@
 //! compares them after a run.
 
 pub mod http1;
+pub mod payload;
 pub mod platform;
+pub mod records;
 pub mod store;
+pub mod target;
--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -20,6 +20,9 @@
 use crate::http1::{self, Body, Error, Result, answer};
 use crate::store::{MAX_VALUE_BYTES, Put, Store, Value};
 
+/// Connections at once; above the daemons of a run with a pending watch each.
+const MAX_CONNECTIONS: usize = 4_096;
+
 /// Faults in force, the body of `POST /control/fault`. The default is none.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -99,7 +102,10 @@
         fault: watch::Sender::new(Fault::default()),
         changes: watch::Sender::new(0),
     });
-    http1::serve(listener, move |req| handle(shared.clone(), req)).await;
+    http1::serve(listener, MAX_CONNECTIONS, move |req| {
+        handle(shared.clone(), req)
+    })
+    .await;
 }
 
 async fn handle(cx: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>> {
--- /dev/null
+++ b/crates/bench/src/target.rs
@@ -0,0 +1,456 @@
+//! The target stand-in: runs requests under fenced grants, sheds, drains, errs and freezes.
+//!
+//! Invariants: a start is recorded before any work is done; an end is recorded before the last
+//! byte of the answer leaves; a refusal with `NotRun` records no start. A grant is checked and the
+//! start recorded under one lock, so no start is recorded under a grant that was replaced before.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use masticdeal_wire::headers;
+use masticdeal_wire::target::{Announce, AnnouncedState, Grant};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http1::{self, Body, Result, answer};
+use crate::payload;
+use crate::records::{Event, Step, Writer, boot_us};
+
+/// Longest body of a request that is read whole, in bytes.
+const MAX_REQUEST_BYTES: usize = 64 << 20;
+
+/// Time between announcements.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+
+/// Pieces in which an answer of long work is sent.
+const LONG_PIECES: u32 = 50;
+
+/// Settings of a target.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name in records and answers.
+    pub name: String,
+    /// Name of the service.
+    pub service: String,
+    /// Announce port of the daemon beside it.
+    pub announce: Option<SocketAddr>,
+    /// Requests that run at once.
+    pub slots: u16,
+    /// Requests that wait for a slot; more are shed.
+    pub queue: usize,
+    /// Connections at once; more wait unaccepted.
+    pub connections: usize,
+    /// Factor on the service time.
+    pub speed: f64,
+    /// Time after the start in which requests take `cold_factor` times as long.
+    pub cold: Duration,
+    /// Factor on the service time while cold.
+    pub cold_factor: f64,
+    /// Service time of a request that names none.
+    pub work: Duration,
+    /// Service time from which an answer is sent in pieces over that time.
+    pub long: Duration,
+    /// Whether it refuses requests without a current grant.
+    pub checks_grants: bool,
+    /// Whether its load report is always that of an idle target.
+    pub lies: bool,
+    /// Record file.
+    pub record: Option<PathBuf>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: "target".into(),
+            service: "search".into(),
+            announce: None,
+            slots: 6,
+            queue: 12,
+            connections: 130,
+            speed: 1.0,
+            cold: Duration::ZERO,
+            cold_factor: 4.0,
+            work: Duration::from_millis(2),
+            long: Duration::from_millis(200),
+            checks_grants: false,
+            lies: false,
+            record: None,
+        }
+    }
+}
+
+/// State on demand, the body of `POST /control/state`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct State {
+    /// Takes no new work.
+    pub draining: bool,
+    /// Factor on the service time.
+    pub slow: f64,
+    /// Share of the requests that end in status 500 after they ran.
+    pub errors: f64,
+    /// Answers nothing and announces nothing while connections stay open.
+    pub frozen: bool,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            draining: false,
+            slow: 1.0,
+            errors: 0.0,
+            frozen: false,
+        }
+    }
+}
+
+struct Target {
+    settings: Settings,
+    start: Instant,
+    state: watch::Sender<State>,
+    grant: Mutex<Option<Grant>>,
+    slots: Arc<Semaphore>,
+    waiting: AtomicUsize,
+    runs: AtomicU64,
+    writer: Option<Writer>,
+}
+
+/// Serves until the future is dropped.
+///
+/// # Errors
+///
+/// Any error of opening the record file.
+pub async fn serve(listener: TcpListener, settings: Settings) -> std::io::Result<()> {
+    let address = listener.local_addr()?;
+    let writer = settings.record.as_deref().map(Writer::open).transpose()?;
+    let target = Arc::new(Target {
+        start: Instant::now(),
+        state: watch::Sender::default(),
+        grant: Mutex::default(),
+        slots: Arc::new(Semaphore::new(settings.slots.into())),
+        waiting: AtomicUsize::new(0),
+        runs: AtomicU64::new(0),
+        writer,
+        settings,
+    });
+    let connections = target.settings.connections;
+    let announcing = target.clone();
+    let handler = move |req| handle(target.clone(), req);
+    tokio::select! {
+        () = http1::serve(listener, connections, handler) => {}
+        () = announce(&announcing, address) => {}
+    }
+    Ok(())
+}
+
+async fn announce(target: &Target, address: SocketAddr) {
+    let Some(daemon) = target.settings.announce else {
+        return std::future::pending().await;
+    };
+    let http = http1::Client::default();
+    let mut every = tokio::time::interval(ANNOUNCE_EVERY);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        target.thawed().await;
+        let body = serde_json::to_vec(&target.announcement(address)).unwrap_or_default();
+        let path = headers::PATH_ANNOUNCE;
+        let json = [("content-type", "application/json")];
+        let sent = http.send(Method::POST, daemon, path, &json, body, ANNOUNCE_EVERY);
+        match sent.await {
+            Ok(answer) if answer.status.is_success() => {}
+            Ok(answer) => log::warn!("announcement refused: {}", answer.text()),
+            Err(e) => log::debug!("announcement not delivered: {e}"),
+        }
+    }
+}
+
+async fn handle(target: Arc<Target>, req: Request<Incoming>) -> Result<Response<Body>> {
+    if req.uri().path() == "/control/state" {
+        return Ok(set_state(&target, req).await);
+    }
+    target.thawed().await;
+    let res = if req.uri().path() == headers::PATH_GRANT {
+        take_grant(&target, req).await
+    } else {
+        work(&target, req).await
+    };
+    target.thawed().await;
+    Ok(res)
+}
+
+async fn set_state(target: &Target, req: Request<Incoming>) -> Response<Body> {
+    let body = http1::read_body(req.into_body(), MAX_REQUEST_BYTES).await;
+    match serde_json::from_slice(&body.unwrap_or_default()) {
+        Ok(state) => {
+            target.state.send_replace(state);
+            answer(StatusCode::OK, "")
+        }
+        Err(e) => answer(StatusCode::BAD_REQUEST, e.to_string()),
+    }
+}
+
+async fn take_grant(target: &Target, req: Request<Incoming>) -> Response<Body> {
+    if req.method() != Method::PUT {
+        return answer(StatusCode::METHOD_NOT_ALLOWED, "");
+    }
+    let body = http1::read_body(req.into_body(), MAX_REQUEST_BYTES).await;
+    let grant: Grant = match serde_json::from_slice(&body.unwrap_or_default()) {
+        Ok(grant) => grant,
+        Err(e) => return answer(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    let mut held = target.grant.lock().unwrap();
+    let last = held.as_ref().map(|g| (g.session, g.sequence));
+    if last.is_some_and(|last| (grant.session, grant.sequence) <= last) {
+        return answer(StatusCode::CONFLICT, "");
+    }
+    *held = Some(grant);
+    answer(StatusCode::OK, "")
+}
+
+async fn work(target: &Arc<Target>, req: Request<Incoming>) -> Response<Body> {
+    if target.state.borrow().draining {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "draining");
+    }
+    let (head, body) = req.into_parts();
+    if http1::read_body(body, MAX_REQUEST_BYTES).await.is_none() {
+        return refusal(StatusCode::BAD_REQUEST, "body");
+    }
+    let Some(slot) = target.slot(&head.headers).await else {
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, "shed");
+    };
+    target.thawed().await;
+    let Some(run) = target.start_run(&head, slot) else {
+        return refusal(StatusCode::PRECONDITION_FAILED, "grant");
+    };
+    run.answer(&head.headers).await
+}
+
+fn refusal(status: StatusCode, reason: &'static str) -> Response<Body> {
+    let mut res = answer(status, reason);
+    let not_run = http::HeaderValue::from_static("NotRun");
+    res.headers_mut().insert(headers::VERDICT, not_run);
+    let reason = http::HeaderValue::from_static(reason);
+    res.headers_mut().insert(headers::REASON, reason);
+    res
+}
+
+impl Target {
+    async fn thawed(&self) {
+        let mut state = self.state.subscribe();
+        let _ = state.wait_for(|s| !s.frozen).await;
+    }
+
+    fn announcement(&self, address: SocketAddr) -> Announce {
+        let slots = self.settings.slots;
+        let busy = f32::from(slots) - self.slots.available_permits() as f32;
+        let load = busy / f32::from(slots);
+        let state = match self.state.borrow().draining {
+            true => AnnouncedState::Draining,
+            false => AnnouncedState::Ready,
+        };
+        Announce {
+            service: self.settings.service.clone(),
+            address,
+            slots,
+            checks_grants: self.settings.checks_grants,
+            state,
+            load: Some(if self.settings.lies { 0.0 } else { load }),
+        }
+    }
+
+    /// Waits for a slot. Returns `None` when the queue is full or the deadline passes first.
+    async fn slot(&self, headers: &HeaderMap) -> Option<OwnedSemaphorePermit> {
+        if let Ok(slot) = self.slots.clone().try_acquire_owned() {
+            return Some(slot);
+        }
+        let _waiting = Waiting::enter(&self.waiting, self.settings.queue)?;
+        let left = http1::number(headers, headers::DEADLINE_MS).unwrap_or(60_000);
+        let slot = self.slots.clone().acquire_owned();
+        let slot = tokio::time::timeout(Duration::from_millis(left), slot).await;
+        slot.ok()?.ok()
+    }
+
+    /// Checks the grant and records the start. Returns `None` when the grant does not cover it.
+    fn start_run(
+        self: &Arc<Self>,
+        head: &http::request::Parts,
+        slot: OwnedSemaphorePermit,
+    ) -> Option<Run> {
+        let key = key_of(head.uri.path());
+        let shard = http1::number(&head.headers, headers::SHARD);
+        let epoch = http1::number(&head.headers, headers::EPOCH);
+        let checked = self.settings.checks_grants && shard.is_some();
+        let grant = self.grant.lock().unwrap();
+        let at_us = boot_us();
+        if checked && !covers(grant.as_ref(), at_us, key, shard, epoch) {
+            return None;
+        }
+        let id = http1::text(&head.headers, headers::REQUEST_ID).unwrap_or("");
+        let event = Event {
+            at_us,
+            step: Step::Start,
+            target: self.settings.name.clone(),
+            run: self.runs.fetch_add(1, Ordering::Relaxed),
+            id: id.to_owned(),
+            key: format!("{}/{key}", self.settings.service),
+            shard,
+            epoch,
+            checked,
+        };
+        self.record(&event);
+        Some(Run {
+            target: self.clone(),
+            event,
+            done: false,
+            _slot: slot,
+        })
+    }
+
+    fn record(&self, event: &Event) {
+        if let Some(writer) = &self.writer {
+            writer.write(event);
+        }
+    }
+
+    fn service_time(&self, headers: &HeaderMap) -> Duration {
+        let named = http1::number(headers, payload::WORK_MS).map(Duration::from_millis);
+        let cold = self.start.elapsed() < self.settings.cold;
+        let cold = if cold { self.settings.cold_factor } else { 1.0 };
+        let factor = self.settings.speed * self.state.borrow().slow * cold;
+        named.unwrap_or(self.settings.work).mul_f64(factor)
+    }
+}
+
+/// The key is the second segment of the path.
+fn key_of(path: &str) -> &str {
+    path.split('/').nth(2).unwrap_or("")
+}
+
+fn covers(
+    grant: Option<&Grant>,
+    now_us: u64,
+    key: &str,
+    shard: Option<u32>,
+    epoch: Option<u32>,
+) -> bool {
+    let (Some(grant), Some(shard), Some(epoch)) = (grant, shard, epoch) else {
+        return false;
+    };
+    let hash = xxh3_64(key.as_bytes());
+    let live = now_us < grant.until_boot_ms.saturating_mul(1_000);
+    live && (grant.shards.contains(&(shard, epoch)) || grant.keys.contains(&(hash, epoch)))
+}
+
+/// Place in the queue for a slot.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn enter(count: &'a AtomicUsize, limit: usize) -> Option<Self> {
+        let before = count.fetch_add(1, Ordering::Relaxed);
+        let waiting = Self(count);
+        (before < limit).then_some(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request that holds a slot. Dropping it before its end records it as cancelled.
+struct Run {
+    target: Arc<Target>,
+    event: Event,
+    done: bool,
+    _slot: OwnedSemaphorePermit,
+}
+
+impl Run {
+    async fn answer(mut self, headers: &HeaderMap) -> Response<Body> {
+        let length = http1::number(headers, payload::ANSWER_BYTES).unwrap_or(128);
+        let body = payload::body(&self.event.id, &self.target.settings.name, length);
+        let time = self.target.service_time(headers);
+        let mut res = self.head(&body);
+        if time >= self.target.settings.long {
+            *res.body_mut() = in_pieces(self, body, time);
+            return res;
+        }
+        tokio::time::sleep(time).await;
+        self.target.thawed().await;
+        self.finish();
+        let errors = self.target.state.borrow().errors;
+        if rand::rng().random::<f64>() < errors {
+            *res.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
+        *res.body_mut() = http1::full(body);
+        res
+    }
+
+    fn head(&self, body: &[u8]) -> Response<Body> {
+        let mut res = answer(StatusCode::OK, "");
+        let mut set = |name, value: &str| {
+            if let Ok(value) = http::HeaderValue::from_str(value) {
+                res.headers_mut().insert(name, value);
+            }
+        };
+        set(payload::ID, &self.event.id);
+        set(payload::TARGET, &self.target.settings.name);
+        set(payload::LENGTH, &body.len().to_string());
+        set(payload::SUM, &payload::sum(body));
+        res
+    }
+
+    fn finish(&mut self) {
+        self.done = true;
+        self.record(Step::Finished);
+    }
+
+    fn record(&self, step: Step) {
+        let at_us = boot_us();
+        let event = Event {
+            at_us,
+            step,
+            ..self.event.clone()
+        };
+        self.target.record(&event);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.done {
+            self.record(Step::Cancelled);
+        }
+    }
+}
+
+/// Sends a body in equal pieces over `time`; the run ends before the last one.
+fn in_pieces(run: Run, body: bytes::Bytes, time: Duration) -> Body {
+    use http_body_util::{BodyExt, StreamBody};
+    let piece = body.len().div_ceil(LONG_PIECES as usize).max(1);
+    let rest = (run, body, LONG_PIECES);
+    let stream = futures_util::stream::unfold(rest, move |(mut run, mut body, left)| async move {
+        if left == 0 {
+            return None;
+        }
+        tokio::time::sleep(time / LONG_PIECES).await;
+        run.target.thawed().await;
+        if left == 1 {
+            run.finish();
+        }
+        let next = body.split_to(piece.min(body.len()));
+        let frame = Ok(hyper::body::Frame::data(next));
+        Some((frame, (run, body, left - 1)))
+    });
+    StreamBody::new(stream).boxed_unsync()
+}
--- /dev/null
+++ b/crates/bench/tests/target.rs
@@ -0,0 +1,160 @@
+//! The target stand-in: grants, refusals, cancellation and its records.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::Method;
+use masticdeal_bench::http1::{Answer, Client};
+use masticdeal_bench::payload;
+use masticdeal_bench::records::{Event, Step, boot_us, read};
+use masticdeal_bench::target::{Settings, serve};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Target {
+    http: Client,
+    address: SocketAddr,
+    record: PathBuf,
+}
+
+async fn target(name: &str, settings: Settings) -> Target {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let record = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.jsonl"));
+    let _ = std::fs::remove_file(&record);
+    let settings = Settings {
+        record: Some(record.clone()),
+        ..settings
+    };
+    tokio::spawn(serve(listener, settings));
+    let http = Client::default();
+    Target {
+        http,
+        address,
+        record,
+    }
+}
+
+impl Target {
+    async fn get(&self, id: &str, headers: &[(&str, &str)]) -> Answer {
+        let mut all = vec![("x-request-id", id)];
+        all.extend(headers);
+        let sent = self
+            .http
+            .send(Method::GET, self.address, "/search/4711", &all, "", LIMIT);
+        sent.await.unwrap()
+    }
+
+    async fn grant(&self, session: u32, sequence: u64, until_ms: u64, shards: &str) -> u16 {
+        let body = format!(
+            r#"{{"session":{session},"sequence":{sequence},"until_boot_ms":{until_ms},"shards":{shards}}}"#
+        );
+        let path = "/masticdeal/grant";
+        let sent = self
+            .http
+            .send(Method::PUT, self.address, path, &[], body, LIMIT);
+        sent.await.unwrap().status.as_u16()
+    }
+
+    fn steps(&self) -> Vec<(String, Step)> {
+        let events: Vec<Event> = read(&self.record).unwrap();
+        events.into_iter().map(|e| (e.id, e.step)).collect()
+    }
+}
+
+fn verdict(answer: &Answer) -> Option<&str> {
+    answer.headers.get("x-masticdeal-verdict")?.to_str().ok()
+}
+
+/// Guards against a checking target that runs work without a current grant, or after a newer one.
+#[tokio::test]
+async fn checking_target_runs_only_what_its_newest_grant_covers() {
+    let settings = Settings {
+        checks_grants: true,
+        ..Settings::default()
+    };
+    let t = target("grants", settings).await;
+    let work = [("x-masticdeal-shard", "3"), ("x-masticdeal-epoch", "7")];
+    let stale = [("x-masticdeal-shard", "3"), ("x-masticdeal-epoch", "6")];
+    let later = boot_us() / 1_000 + 600_000;
+    let refused = t.get("none", &work).await;
+    assert_that!(refused.status.as_u16(), eq(412));
+    assert_that!(verdict(&refused), some(eq("NotRun")));
+    assert_that!(t.grant(2, 5, later, "[[3,7]]").await, eq(200));
+    assert_that!(t.get("live", &work).await.status.as_u16(), eq(200));
+    assert_that!(t.get("stale", &stale).await.status.as_u16(), eq(412));
+    assert_that!(t.grant(2, 5, later, "[]").await, eq(409));
+    assert_that!(t.grant(1, 9, later, "[]").await, eq(409));
+    assert_that!(
+        t.grant(2, 6, boot_us() / 1_000 - 1, "[[3,7]]").await,
+        eq(200)
+    );
+    assert_that!(t.get("ended", &work).await.status.as_u16(), eq(412));
+    assert_that!(t.grant(3, 1, later, "[]").await, eq(200));
+    assert_that!(t.get("revoked", &work).await.status.as_u16(), eq(412));
+    let live = "live".to_owned();
+    assert_that!(
+        t.steps(),
+        eq(&vec![(live.clone(), Step::Start), (live, Step::Finished)])
+    );
+}
+
+/// Guards against answers that the caller's check accepts although they are cut, mixed or
+/// another's.
+#[tokio::test]
+async fn answer_is_whole_and_names_its_request() {
+    let t = target("answers", Settings::default()).await;
+    let mut long = t
+        .get("a", &[("x-work-ms", "250"), ("x-answer-bytes", "100000")])
+        .await;
+    assert_that!(long.body.len(), eq(100_000));
+    assert_that!(payload::fault("a", &long.headers, &long.body), none());
+    assert_that!(
+        payload::fault("b", &long.headers, &long.body),
+        some(anything())
+    );
+    let short = t.get("b", &[]).await;
+    assert_that!(payload::fault("b", &short.headers, &short.body), none());
+    assert_that!(
+        payload::fault("a", &long.headers, &short.body),
+        some(anything())
+    );
+    long.body.truncate(99_999);
+    assert_that!(
+        payload::fault("a", &long.headers, &long.body),
+        some(anything())
+    );
+}
+
+/// Guards against shed work that is recorded as run, and against cancelled work that keeps its
+/// slot.
+#[tokio::test]
+async fn sheds_beyond_its_queue_and_frees_the_slot_on_cancellation() {
+    let settings = Settings {
+        slots: 1,
+        queue: 0,
+        ..Settings::default()
+    };
+    let t = target("sheds", settings).await;
+    let long = t.http.start(
+        http::Request::get(format!("http://{}/search/1", t.address))
+            .header("x-request-id", "long")
+            .header("x-work-ms", "60000")
+            .body(Default::default())
+            .unwrap(),
+    );
+    let running = long.await.unwrap();
+    let shed = t.get("shed", &[]).await;
+    assert_that!(shed.status.as_u16(), eq(503));
+    assert_that!(verdict(&shed), some(eq("NotRun")));
+    drop(running);
+    while t.get("next", &[]).await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let steps = t.steps();
+    let has = |id: &str, step| steps.contains(&(id.to_owned(), step));
+    assert_that!(has("long", Step::Cancelled), eq(true));
+    assert_that!(has("shed", Step::Start), eq(false));
+}
