--- /dev/null
+++ b/crates/ownership/src/apply.rs
@@ -0,0 +1,365 @@
+//! Applies changes to the assignment table.
+//!
+//! Applying is deterministic and depends on nothing but the table and the change, so every daemon
+//! reaches the same table from the same delta. A change that does not fit is refused as a whole.
+
+use displaydoc::Display;
+
+use crate::change::{Change, Delta};
+use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId, shard_of};
+use crate::table::{
+    KeyOverride, MAX_NAME_BYTES, MAX_OVERRIDES, MAX_SERVICES, MAX_SESSIONS, MAX_SHARDS,
+    REMEMBERED_CHANGES, Service, Session, Shard, Table,
+};
+
+/// Why a delta or one of its changes does not fit the table.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Refused {
+    /// delta makes version {to}, but the table stands at {have}
+    Version {
+        /// Version of the table.
+        have: u64,
+        /// Version that the delta makes.
+        to: u64,
+    },
+    /// session {0} is not in the table
+    NoSession(SessionId),
+    /// session {0} stands at another term
+    Term(SessionId),
+    /// lessors of session {0} are not distinct live sessions other than itself
+    Lessors(SessionId),
+    /// session {0} has the same address
+    AddressTaken(SessionId),
+    /// session {0} has the same incarnation
+    AlreadyJoined(SessionId),
+    /// name is empty or longer than 64 bytes
+    Name,
+    /// service {0} is not in the table
+    NoService(ServiceId),
+    /// service exists with {0} shards
+    ShardCountDiffers(usize),
+    /// {0} shards are not a power of two
+    NotPowerOfTwo(u32),
+    /// shard {0} does not exist
+    NoShard(ShardId),
+    /// shards are not in ascending order
+    Order,
+    /// shard {0} has an owner
+    Owned(ShardId),
+    /// shard {0} is not held by the named owner under the named epoch
+    NotReleased(ShardId),
+    /// session {0} has no target of the service
+    NoTarget(SessionId),
+    /// key is not held by the named owner under the named epoch
+    KeyNotReleased,
+    /// key has no override
+    NoOverride,
+    /// limit of {0} is reached
+    Limit(&'static str),
+}
+
+impl std::error::Error for Refused {}
+
+/// Result of this module.
+pub type Result<T, E = Refused> = std::result::Result<T, E>;
+
+impl Table {
+    /// Applies a whole delta and returns the next version of the table.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Refused`]; the table itself stays as it is.
+    pub fn apply(&self, delta: &Delta) -> Result<Self> {
+        if delta.to != self.version + 1 {
+            return Err(Refused::Version {
+                have: self.version,
+                to: delta.to,
+            });
+        }
+        let mut next = self.clone();
+        for change in &delta.changes {
+            next.apply_change(change)?;
+        }
+        next.finish(delta.change_id);
+        Ok(next)
+    }
+
+    /// Raises the version and remembers the change id. Call once after the changes of one swap.
+    pub(crate) fn finish(&mut self, change_id: ChangeId) {
+        self.version += 1;
+        if self.recent.len() >= REMEMBERED_CHANGES {
+            self.recent.remove(0);
+        }
+        self.recent.push(change_id);
+    }
+
+    /// Applies one change and leaves the version as it is.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Refused`] but [`Refused::Version`]; the table is unchanged then.
+    pub(crate) fn apply_change(&mut self, change: &Change) -> Result<()> {
+        match change {
+            Change::Join { session } => self.join(session),
+            Change::End { session, term, .. } => self.end(*session, *term),
+            Change::SetLessors {
+                session,
+                term,
+                lessors,
+            } => self.set_lessors(*session, *term, lessors),
+            Change::SetTarget { session, target } => {
+                if let Some(target) = target {
+                    self.service_mut(target.service)?;
+                }
+                self.session_mut(*session)?.target = target.clone();
+                Ok(())
+            }
+            Change::DeclareService { name, shards } => self.declare(name, *shards),
+            Change::Assign {
+                service,
+                owner,
+                shards,
+            } => self.assign(*service, *owner, shards),
+            Change::Move {
+                service,
+                shard,
+                from,
+                epoch,
+                to,
+            } => self.move_shard(*service, *shard, (*from, *epoch), *to),
+            Change::Override {
+                service,
+                key_hash,
+                from,
+                to,
+            } => self.override_key(*service, *key_hash, *from, *to),
+        }
+    }
+
+    fn session_mut(&mut self, id: SessionId) -> Result<&mut Session> {
+        let at = self.sessions.binary_search_by_key(&id, |s| s.id);
+        at.map(|at| &mut self.sessions[at])
+            .map_err(|_| Refused::NoSession(id))
+    }
+
+    fn service_mut(&mut self, id: ServiceId) -> Result<&mut Service> {
+        self.services
+            .get_mut(id.index())
+            .ok_or(Refused::NoService(id))
+    }
+
+    fn join(&mut self, session: &Session) -> Result<()> {
+        if self.sessions.len() >= MAX_SESSIONS {
+            return Err(Refused::Limit("sessions"));
+        }
+        for name in [&session.vm, &session.region, &session.data_centre] {
+            check_name(name)?;
+        }
+        for other in &self.sessions {
+            if other.incarnation == session.incarnation {
+                return Err(Refused::AlreadyJoined(other.id));
+            }
+            if other.address == session.address {
+                return Err(Refused::AddressTaken(other.id));
+            }
+        }
+        let id = SessionId(self.next_session);
+        self.check_lessors(id, &session.lessors)?;
+        if let Some(target) = &session.target {
+            self.service_mut(target.service)?;
+        }
+        self.next_session += 1;
+        self.sessions.push(Session {
+            id,
+            ..session.clone()
+        });
+        Ok(())
+    }
+
+    fn check_lessors(&self, of: SessionId, lessors: &[SessionId]) -> Result<()> {
+        let distinct = lessors.len() < 2 || lessors[0] != lessors[1];
+        let live = lessors
+            .iter()
+            .all(|&id| id != of && self.session(id).is_some());
+        if lessors.len() <= 2 && distinct && live {
+            Ok(())
+        } else {
+            Err(Refused::Lessors(of))
+        }
+    }
+
+    fn end(&mut self, id: SessionId, term: u32) -> Result<()> {
+        if self.session_mut(id)?.term != term {
+            return Err(Refused::Term(id));
+        }
+        self.sessions.retain(|s| s.id != id);
+        for service in &mut self.services {
+            for shard in &mut service.shards {
+                if shard.owner == Some(id) {
+                    shard.owner = None;
+                }
+            }
+            // The key falls back to its shard. Epochs of overrides come from the version of the
+            // table, so a later override of the same key does not repeat one.
+            service.overrides.retain(|o| o.shard.owner != Some(id));
+        }
+        Ok(())
+    }
+
+    fn set_lessors(&mut self, id: SessionId, term: u32, lessors: &[SessionId]) -> Result<()> {
+        self.check_lessors(id, lessors)?;
+        let session = self.session_mut(id)?;
+        if session.term != term {
+            return Err(Refused::Term(id));
+        }
+        session.lessors = lessors.to_vec();
+        session.term += 1;
+        Ok(())
+    }
+
+    fn declare(&mut self, name: &str, shards: u32) -> Result<()> {
+        check_name(name)?;
+        if let Some(service) = self.services.iter().find(|s| s.name == name) {
+            let have = service.shards.len();
+            return if have == shards as usize {
+                Ok(())
+            } else {
+                Err(Refused::ShardCountDiffers(have))
+            };
+        }
+        if shards != 0 && !shards.is_power_of_two() {
+            return Err(Refused::NotPowerOfTwo(shards));
+        }
+        let total: usize = self.services.iter().map(|s| s.shards.len()).sum();
+        if total + shards as usize > MAX_SHARDS {
+            return Err(Refused::Limit("shards"));
+        }
+        if self.services.len() >= MAX_SERVICES {
+            return Err(Refused::Limit("services"));
+        }
+        let unowned = Shard {
+            owner: None,
+            epoch: Epoch(0),
+        };
+        self.services.push(Service {
+            name: name.to_owned(),
+            shards: vec![unowned; shards as usize],
+            overrides: Vec::new(),
+        });
+        Ok(())
+    }
+
+    /// Checks that the session has a target of the service.
+    fn check_owner(&self, service: ServiceId, owner: SessionId) -> Result<()> {
+        let session = self.session(owner).ok_or(Refused::NoSession(owner))?;
+        match &session.target {
+            Some(target) if target.service == service => Ok(()),
+            _ => Err(Refused::NoTarget(owner)),
+        }
+    }
+
+    fn assign(&mut self, service: ServiceId, owner: SessionId, shards: &[ShardId]) -> Result<()> {
+        self.check_owner(service, owner)?;
+        let list = &mut self.service_mut(service)?.shards;
+        if !shards.is_sorted_by(|a, b| a < b) {
+            return Err(Refused::Order);
+        }
+        for id in shards {
+            let shard = list.get(id.index()).ok_or(Refused::NoShard(*id))?;
+            if shard.owner.is_some() {
+                return Err(Refused::Owned(*id));
+            }
+        }
+        for id in shards {
+            let shard = &mut list[id.index()];
+            shard.owner = Some(owner);
+            shard.epoch.0 += 1;
+        }
+        Ok(())
+    }
+
+    fn move_shard(
+        &mut self,
+        service: ServiceId,
+        id: ShardId,
+        released: (SessionId, Epoch),
+        to: SessionId,
+    ) -> Result<()> {
+        // A session may take its own shard back even after its target changed.
+        if to != released.0 {
+            self.check_owner(service, to)?;
+        }
+        let list = &mut self.service_mut(service)?.shards;
+        let shard = list.get_mut(id.index()).ok_or(Refused::NoShard(id))?;
+        if (shard.owner, shard.epoch) != (Some(released.0), released.1) {
+            return Err(Refused::NotReleased(id));
+        }
+        shard.owner = Some(to);
+        shard.epoch.0 += 1;
+        Ok(())
+    }
+
+    fn override_key(
+        &mut self,
+        service: ServiceId,
+        key_hash: u64,
+        from: Option<(SessionId, Epoch)>,
+        to: Option<SessionId>,
+    ) -> Result<()> {
+        if let Some(to) = to {
+            self.check_owner(service, to)?;
+        }
+        let epoch = Epoch((self.version + 1) as u32);
+        let service = self.service_mut(service)?;
+        if service.shards.is_empty() {
+            return Err(Refused::KeyNotReleased);
+        }
+        let at = service
+            .overrides
+            .iter()
+            .position(|o| o.key_hash == key_hash);
+        let held = match at {
+            Some(at) => service.overrides[at].shard,
+            None => service.shard_of(key_hash),
+        };
+        if held.owner.map(|owner| (owner, held.epoch)) != from {
+            return Err(Refused::KeyNotReleased);
+        }
+        match (at, to) {
+            (None, None) => return Err(Refused::NoOverride),
+            (Some(at), None) => {
+                service.overrides.remove(at);
+            }
+            (Some(at), Some(to)) => {
+                service.overrides[at].shard = Shard {
+                    owner: Some(to),
+                    epoch,
+                };
+            }
+            (None, Some(_)) if service.overrides.len() >= MAX_OVERRIDES => {
+                return Err(Refused::Limit("overrides"));
+            }
+            (None, Some(to)) => {
+                // The shard's target runs the key under the old epoch of the shard, so that epoch
+                // ends with the override.
+                let shards = service.shards.len() as u32;
+                service.shards[shard_of(key_hash, shards).index()].epoch.0 += 1;
+                service.overrides.push(KeyOverride {
+                    key_hash,
+                    shard: Shard {
+                        owner: Some(to),
+                        epoch,
+                    },
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_name(name: &str) -> Result<()> {
+    if name.is_empty() || name.len() > MAX_NAME_BYTES {
+        return Err(Refused::Name);
+    }
+    Ok(())
+}
--- a/crates/ownership/src/change.rs
+++ b/crates/ownership/src/change.rs
@@ -3,6 +3,7 @@
 //! A swap applies a list of changes to one version of the table and yields the next version.
 //! Applying is deterministic, so the same list serves as the delta that peers send each other.
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
@@ -54,7 +55,7 @@
         service: ServiceId,
         /// The new owner.
         owner: SessionId,
-        /// Shards that have no owner in the table.
+        /// Shards that have no owner in the table, in ascending order.
         shards: Vec<ShardId>,
     },
     /// Moves a shard that its owner has released. Refused when owner or epoch differ.
@@ -84,15 +85,15 @@
 }
 
 /// Why a session may be ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndCause {
-    /// Its lessors counted the lease out.
+    /// lease ran out
     LeaseExpired,
-    /// The daemon left of its own accord.
+    /// daemon left
     Left,
-    /// A new daemon at the same address waited a full lease.
+    /// a new daemon runs at its address
     Replaced,
-    /// An operator confirmed that it is lost.
+    /// an operator confirmed the loss
     ConfirmedLost,
 }
 
--- /dev/null
+++ b/crates/ownership/src/lease.rs
@@ -0,0 +1,22 @@
+//! The lease core: keeps this daemon's session and lease, renews those of its lessees, ends the
+//! sessions that both of their lessors have counted out, and decides what this daemon may serve.
+//!
+//! Section 6 of the design page states the rules (R1 to R12) that the comments name. All times are
+//! boot times of this VM.
+
+mod api;
+mod core;
+mod draft;
+mod grants;
+mod learn;
+mod lessee;
+mod lessor;
+mod propose;
+mod releases;
+mod writer;
+
+pub use api::{
+    CoreSettings, Declared, Effect, Event, Expiry, Grants, Held, Identity, MoveBy, Outcome,
+    Refusal, Renewal, Rule, TargetReport, override_shard,
+};
+pub use core::Core;
--- /dev/null
+++ b/crates/ownership/src/lease/draft.rs
@@ -0,0 +1,467 @@
+//! Puts the changes of one swap together.
+
+use std::time::Duration;
+
+use super::api::{MoveBy, Rule};
+use super::core::Core;
+use super::releases::{Purpose, Release};
+use super::writer::OwnChange;
+use crate::change::{Change, EndCause};
+use crate::ids::{ServiceId, SessionId, ShardId};
+use crate::journal::{LessorCause, MoveCause, Refusal, What};
+use crate::ring::{self, Place};
+use crate::spread;
+use crate::table::{Session, Table};
+
+/// Time for which a session that did not renew is not chosen as lessor or owner.
+const SUSPICION: Duration = Duration::from_secs(3);
+
+/// A swap in the making.
+#[derive(Debug)]
+pub(super) struct Draft {
+    pub table: Table,
+    pub changes: Vec<Change>,
+    pub decisions: Vec<What>,
+    pub ends: Vec<SessionId>,
+    pub own: OwnChange,
+    pub new_lessors: Option<Vec<SessionId>>,
+}
+
+impl Draft {
+    /// Adds a change when it fits the table.
+    fn push(&mut self, change: Change, what: What) -> bool {
+        let fits = self.table.apply_change(&change).is_ok();
+        if fits {
+            self.changes.push(change);
+            self.decisions.push(what);
+        }
+        fits
+    }
+
+    fn end(&mut self, session: SessionId, term: u32, cause: EndCause) -> bool {
+        let change = Change::End {
+            session,
+            term,
+            cause,
+        };
+        self.push(change, What::Ended { session, cause })
+    }
+
+    fn move_shard(
+        &mut self,
+        at: (ServiceId, ShardId),
+        release: &Release,
+        (from, to): (SessionId, SessionId),
+        cause: MoveCause,
+    ) -> bool {
+        let (service, shard) = at;
+        let what = match from == to {
+            true => What::TakenBack {
+                service,
+                shard,
+                owner: to,
+            },
+            false => What::Moved {
+                service,
+                shard,
+                from,
+                to,
+                cause,
+            },
+        };
+        let change = Change::Move {
+            service,
+            shard,
+            from,
+            epoch: release.epoch,
+            to,
+        };
+        self.push(change, what)
+    }
+}
+
+impl Core {
+    /// Puts together everything that this daemon may change now; `None` while it may not join.
+    pub(super) fn draft(&mut self, now: Duration) -> Option<Draft> {
+        let mut draft = Draft {
+            table: Table::clone(&self.table),
+            changes: Vec::new(),
+            decisions: Vec::new(),
+            ends: Vec::new(),
+            own: OwnChange::None,
+            new_lessors: None,
+        };
+        self.note_suspects(now);
+        match self.session {
+            None => self.draft_join(now, &mut draft)?,
+            Some(me) => {
+                self.draft_ends(now, &mut draft);
+                self.draft_lessors(now, me, &mut draft);
+                self.draft_adoptions(now, me, &mut draft);
+            }
+        }
+        self.draft_services(&mut draft);
+        if let Some(me) = self.session {
+            self.draft_target(me, &mut draft);
+            self.draft_queue(&mut draft);
+            self.draft_moves(now, me, &mut draft);
+            self.draft_keys(me, &mut draft);
+            self.draft_leave(me, &mut draft);
+        }
+        self.draft_assign(now, &mut draft);
+        Some(draft)
+    }
+
+    fn note_suspects(&mut self, now: Duration) {
+        self.suspects.retain(|_, until| now < *until);
+        for link in &self.lessee.links {
+            if now >= link.silent_at(&self.settings) {
+                self.suspects.insert(link.lessor, now + SUSPICION);
+            }
+        }
+    }
+
+    fn suspicious(&self, now: Duration, id: SessionId) -> bool {
+        self.suspects.contains_key(&id) || self.book.suspects(now, id, &self.settings)
+    }
+
+    fn draft_join(&mut self, now: Duration, draft: &mut Draft) -> Option<()> {
+        if let Some((old, term)) = self.predecessor().map(|old| (old.id, old.term)) {
+            if now < self.replace_at() {
+                self.journal(What::Refused(Refusal::JoinWaits(old)));
+                return None;
+            }
+            draft.end(old, term, EndCause::Replaced);
+        }
+        let me = self.me.clone();
+        let place = Place {
+            id: SessionId(draft.table.next_session),
+            region: &me.region,
+            data_centre: &me.data_centre,
+        };
+        let avoid = |id| self.suspicious(now, id);
+        let mut lessors = ring::lessors(&draft.table, place, &[], self.settings.lessors, avoid);
+        if lessors.is_empty() {
+            let count = self.settings.lessors;
+            lessors = ring::lessors(&draft.table, place, &[], count, |_| false);
+        }
+        let what = What::Joined {
+            session: place.id,
+            vm: me.vm.clone(),
+        };
+        let session = Session {
+            id: place.id,
+            incarnation: me.incarnation,
+            vm: me.vm.clone(),
+            address: me.address,
+            region: me.region.clone(),
+            data_centre: me.data_centre.clone(),
+            lessors,
+            term: 1,
+            target: None,
+        };
+        if draft.push(Change::Join { session }, what) {
+            draft.own = OwnChange::Lease;
+        }
+        Some(())
+    }
+
+    fn draft_ends(&mut self, now: Duration, draft: &mut Draft) {
+        for (&lessee, duty) in &self.book.duties {
+            let due = duty.end_at(&self.settings).is_some_and(|at| at <= now);
+            if due && draft.end(lessee, duty.term, EndCause::LeaseExpired) {
+                draft.ends.push(lessee);
+            }
+        }
+        for &id in &self.lost {
+            let term = draft.table.session(id).map(|s| s.term);
+            if let Some(term) = term {
+                draft.end(id, term, EndCause::ConfirmedLost);
+            }
+        }
+    }
+
+    fn draft_lessors(&mut self, now: Duration, me: SessionId, draft: &mut Draft) {
+        let Some((at, cause)) = self.lessor_change() else {
+            return;
+        };
+        let missing = matches!(cause, LessorCause::TooFew | LessorCause::LessorEnded);
+        if now < at && !missing {
+            return;
+        }
+        let Some(own) = draft.table.session(me).cloned() else {
+            return;
+        };
+        let lessors = match cause {
+            LessorCause::Preferred => self.one_step_to_preferred(now, &own, &draft.table),
+            _ => self.replace_silent(now, &own, &draft.table),
+        };
+        let same =
+            lessors.len() == own.lessors.len() && lessors.iter().all(|id| own.lessors.contains(id));
+        self.lessor_hold = now + self.settings.lease / 2;
+        if same && self.lessee.live(now) {
+            return;
+        }
+        let what = What::LessorsChanged {
+            session: me,
+            lessors: lessors.clone(),
+            cause,
+        };
+        let change = Change::SetLessors {
+            session: me,
+            term: own.term,
+            lessors: lessors.clone(),
+        };
+        if draft.push(change, what) {
+            draft.own = OwnChange::Lease;
+            draft.new_lessors = Some(lessors);
+        }
+    }
+
+    /// Keeps the lessors that renew and fills up. Without a live lease silent lessors may stay:
+    /// after a pause of the whole fleet they only wait for a lease of their own (R12).
+    fn replace_silent(&self, now: Duration, own: &Session, table: &Table) -> Vec<SessionId> {
+        let count = self.wanted_lessors(table);
+        let renews = |id: &SessionId| {
+            let link = self.lessee.links.iter().find(|l| l.lessor == *id);
+            table.session(*id).is_some() && link.is_some_and(|l| now < l.silent_at(&self.settings))
+        };
+        let keep: Vec<_> = own.lessors.iter().copied().filter(renews).collect();
+        let avoid = |id| self.suspicious(now, id);
+        let found = ring::lessors(table, own.into(), &keep, count, avoid);
+        if found.len() == count {
+            return found;
+        }
+        let silent = own.lessors.iter().copied();
+        let stay: Vec<_> = found
+            .iter()
+            .copied()
+            .chain(silent.filter(|id| !found.contains(id)))
+            .collect();
+        ring::lessors(table, own.into(), &stay, count, |_| false)
+    }
+
+    /// Replaces one lessor, so that the other stays in both sets and renews during the swap.
+    fn one_step_to_preferred(&self, now: Duration, own: &Session, table: &Table) -> Vec<SessionId> {
+        let avoid = |id| self.suspicious(now, id);
+        let best = ring::lessors(table, own.into(), &[], self.settings.lessors, avoid);
+        let new = best.iter().find(|id| !own.lessors.contains(id));
+        let mut lessors = own.lessors.clone();
+        let old = lessors.iter().position(|id| !best.contains(id));
+        if let (Some(new), Some(old)) = (new, old) {
+            lessors[old] = *new;
+        }
+        lessors
+    }
+
+    /// Names new lessors for sessions whose lessors have all ended (R5), itself among them.
+    fn draft_adoptions(&mut self, now: Duration, me: SessionId, draft: &mut Draft) {
+        for (&id, &(term, seen)) in &self.forlorn {
+            let Some(lessee) = draft.table.session(id) else {
+                continue;
+            };
+            if now < seen + self.settings.lease / 2 || me == id {
+                continue;
+            }
+            let count = self.settings.lessors;
+            let avoid = |id| self.suspicious(now, id);
+            let lessors = ring::lessors(&draft.table, lessee.into(), &[me], count, avoid);
+            let what = What::LessorsChanged {
+                session: id,
+                lessors: lessors.clone(),
+                cause: LessorCause::Adopted,
+            };
+            let change = Change::SetLessors {
+                session: id,
+                term,
+                lessors,
+            };
+            draft.push(change, what);
+        }
+    }
+
+    fn draft_services(&mut self, draft: &mut Draft) {
+        for declared in self.declared.clone() {
+            let name = declared.name;
+            let known = draft.table.service_id(&name);
+            let shards = known.map(|id| draft.table.services[id.index()].shards.len());
+            if shards.is_some_and(|have| have != declared.shards as usize) {
+                self.journal(What::Refused(Refusal::ShardCount(name)));
+            } else if shards.is_none() {
+                let what = What::Declared {
+                    name: name.clone(),
+                    shards: declared.shards,
+                };
+                let change = Change::DeclareService {
+                    name,
+                    shards: declared.shards,
+                };
+                draft.push(change, what);
+            }
+        }
+    }
+
+    fn draft_target(&mut self, me: SessionId, draft: &mut Draft) {
+        let wanted = self.wanted_target(&draft.table);
+        let known = draft.table.session(me).and_then(|s| s.target.clone());
+        if wanted != known {
+            let change = Change::SetTarget {
+                session: me,
+                target: wanted,
+            };
+            draft.push(change, What::TargetChanged { session: me });
+        }
+    }
+
+    /// Adds the moves that owners released for this planner.
+    fn draft_queue(&mut self, draft: &mut Draft) {
+        for queued in std::mem::take(&mut self.queue) {
+            let (service, shard) = (queued.held.service, queued.held.shard);
+            let current = draft.table.service(service);
+            let current = current.and_then(|s| s.shards.get(shard.index()));
+            let epoch = match self.settings.without {
+                Some(Rule::ReleaseEpoch) => current.map_or(queued.held.epoch, |s| s.epoch),
+                _ => queued.held.epoch,
+            };
+            let change = Change::Move {
+                service,
+                shard,
+                from: queued.from,
+                epoch,
+                to: queued.to,
+            };
+            let what = What::Moved {
+                service,
+                shard,
+                from: queued.from,
+                to: queued.to,
+                cause: MoveCause::Requested,
+            };
+            if draft.push(change, what) {
+                self.queue.push(queued);
+            } else {
+                self.journal(What::Refused(Refusal::StaleMove(shard, service)));
+            }
+        }
+    }
+
+    fn draft_moves(&mut self, now: Duration, me: SessionId, draft: &mut Draft) {
+        for (&at, release) in &self.releases.shards {
+            if release.drained_at.is_none() {
+                continue;
+            }
+            let withdrawn = release.machine.state() == "withdrawn";
+            match release.purpose {
+                _ if withdrawn => {
+                    draft.move_shard(at, release, (me, me), MoveCause::Requested);
+                }
+                Purpose::Move {
+                    by: MoveBy::Planner,
+                    ..
+                } => {
+                    // R6: nobody swapped, so the owner takes the shard back.
+                    if release
+                        .drained_at
+                        .is_some_and(|d| now >= d + self.settings.take_back)
+                    {
+                        draft.move_shard(at, release, (me, me), MoveCause::Requested);
+                    }
+                }
+                Purpose::Move { to, .. } => {
+                    let ready = spread::ready(&draft.table, at.0);
+                    let ready = ready.iter().any(|(id, _)| *id == to);
+                    let to = if ready { to } else { me };
+                    draft.move_shard(at, release, (me, to), MoveCause::Requested);
+                }
+                Purpose::Leave => self.draft_leave_shard(now, me, at, release, draft),
+                Purpose::Override { key_hash, to } => {
+                    let (service, from) = (at.0, Some((me, release.epoch)));
+                    let what = What::Overridden {
+                        service,
+                        key_hash,
+                        to: Some(to),
+                    };
+                    let change = Change::Override {
+                        service,
+                        key_hash,
+                        from,
+                        to: Some(to),
+                    };
+                    if !draft.push(change, what) {
+                        draft.move_shard(at, release, (me, me), MoveCause::Requested);
+                    }
+                }
+            }
+        }
+    }
+
+    fn draft_leave_shard(
+        &self,
+        now: Duration,
+        me: SessionId,
+        at: (ServiceId, ShardId),
+        release: &Release,
+        draft: &mut Draft,
+    ) {
+        let avoid = |id| self.suspicious(now, id);
+        let to = spread::owners_for(&draft.table, at.0, 1, avoid, Some(me));
+        // Without another target the shard stays, or becomes an orphan when the session leaves.
+        let to = match (to.first(), self.leaving) {
+            (Some(to), _) => *to,
+            (None, true) => return,
+            (None, false) => me,
+        };
+        draft.move_shard(at, release, (me, to), MoveCause::TargetLeaves);
+    }
+
+    fn draft_keys(&mut self, me: SessionId, draft: &mut Draft) {
+        for (&(service, key_hash), release) in &self.releases.keys {
+            if !release.drained {
+                continue;
+            }
+            let ready = spread::ready(&draft.table, service);
+            let to = release.to.filter(|to| ready.iter().any(|(id, _)| id == to));
+            let what = What::Overridden {
+                service,
+                key_hash,
+                to,
+            };
+            let change = Change::Override {
+                service,
+                key_hash,
+                from: Some((me, release.epoch)),
+                to,
+            };
+            draft.push(change, what);
+        }
+    }
+
+    fn draft_leave(&mut self, me: SessionId, draft: &mut Draft) {
+        let term = draft.table.session(me).map(|s| s.term);
+        if let Some(term) = term.filter(|_| self.may_leave())
+            && draft.end(me, term, EndCause::Left)
+        {
+            draft.own = OwnChange::End;
+        }
+    }
+
+    fn draft_assign(&mut self, now: Duration, draft: &mut Draft) {
+        let avoid = |id| self.suspicious(now, id);
+        let skip = |service| !self.gathered(service, now);
+        for change in spread::assign(&draft.table, avoid, skip) {
+            if let Change::Assign {
+                service,
+                owner,
+                shards,
+            } = &change
+            {
+                let what = What::Assigned {
+                    service: *service,
+                    owner: *owner,
+                    count: shards.len(),
+                };
+                draft.push(change, what);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/lease/learn.rs
@@ -0,0 +1,297 @@
+//! Takes newer tables over and brings everything that follows from them up to date.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::api::{Effect, Held, Rule};
+use super::core::Core;
+use super::writer::{OwnChange, Settled};
+use crate::change::{Change, Delta};
+use crate::checker;
+use crate::ids::{ServiceId, SessionId, ShardId};
+use crate::journal::{Decision, LessorCause, MoveCause, Refusal, What};
+use crate::ring;
+use crate::spread;
+use crate::table::Table;
+
+impl Core {
+    pub(super) fn table_read(&mut self, now: Duration, read: u64, table: Option<Arc<Table>>) {
+        let version = table.as_ref().map(|t| t.version);
+        if !self
+            .writer
+            .read_answered(now, read, version, &self.settings)
+        {
+            return;
+        }
+        if let Some(table) = table {
+            self.informed = true;
+            self.learn(now, table, None);
+        }
+    }
+
+    pub(super) fn learn_deltas(&mut self, now: Duration, deltas: &[Delta]) {
+        for delta in deltas {
+            if delta.to != self.table.version + 1 {
+                continue;
+            }
+            match self.table.apply(delta) {
+                Ok(next) => self.learn(now, Arc::new(next), Some(delta)),
+                Err(_) => {
+                    self.journal(What::Refused(Refusal::MalformedTable));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes over a newer table. `delta` is the single change that led to it, when known.
+    pub(super) fn learn(&mut self, now: Duration, table: Arc<Table>, delta: Option<&Delta>) {
+        if table.version <= self.table.version {
+            return;
+        }
+        // A delta was checked when it was applied.
+        if delta.is_none() && checker::check_table(&table).is_err() {
+            self.journal(What::Refused(Refusal::MalformedTable));
+            return;
+        }
+        let old = std::mem::replace(&mut self.table, table.clone());
+        self.informed = true;
+        self.learned_at = now;
+        self.noise = self.writer.jitter(Duration::from_secs(1)).as_secs_f64();
+        let settled = self.writer.settle(&table);
+        let pending = settled.and_then(|_| self.writer.finish());
+        self.adopt_session(now);
+        if let Some(pending) = pending {
+            self.lessee.changing_to = None;
+            self.settled(now, settled == Some(Settled::Done), pending);
+        } else if let Some(delta) = delta {
+            self.journal_delta(&old, delta);
+        }
+        self.book.adopt(now, self.session, &table, &self.settings);
+        self.releases.adopt(self.session, &table);
+        self.adopt_shards(now, &old, delta);
+        self.adopt_hints(now);
+        self.effects.push(Effect::TableChanged(table));
+    }
+
+    fn adopt_session(&mut self, now: Duration) {
+        let found = self
+            .table
+            .sessions
+            .iter()
+            .find(|s| s.incarnation == self.me.incarnation);
+        let id = found.map(|s| s.id);
+        self.lessee.adopt(now, found, &self.settings);
+        if id == self.session {
+            return;
+        }
+        if let Some(old) = self.session {
+            self.step("table.lacks");
+            self.effects.push(Effect::Ended(old));
+            // Each session has an incarnation of its own, so that a late write of the old one
+            // cannot pass for the new one.
+            self.me.incarnation = self.writer.random();
+        }
+        self.session = id;
+        if let Some(id) = id {
+            let first = self.writer.random() >> 1;
+            self.lessee.start_sequence(first);
+            self.step("table.shows");
+            self.effects.push(Effect::Joined(id));
+        }
+    }
+
+    pub(super) fn step(&mut self, event: &str) {
+        let stepped = self.life.step(event);
+        debug_assert!(stepped.is_ok(), "{stepped:?}");
+    }
+
+    fn settled(&mut self, now: Duration, done: bool, pending: super::writer::Pending) {
+        if !done {
+            if matches!(self.life.state(), "joining" | "withdrawing") {
+                self.step("swap.lost");
+            }
+            return;
+        }
+        if pending.own == OwnChange::Lease && self.session.is_some() {
+            let from = match self.settings.without {
+                Some(Rule::CountFromSwapStart) => now,
+                _ => pending.started,
+            };
+            self.lessee.lease_by_swap(from, &self.settings);
+        }
+        for what in pending.decisions {
+            self.effects.push(Effect::Journal(Decision {
+                version: pending.delta.to,
+                own: true,
+                what,
+            }));
+        }
+    }
+
+    fn journal_delta(&mut self, old: &Table, delta: &Delta) {
+        for change in &delta.changes {
+            if let Some(what) = describe(old, change) {
+                self.effects.push(Effect::Journal(Decision {
+                    version: delta.to,
+                    own: false,
+                    what,
+                }));
+            }
+        }
+    }
+
+    fn adopt_shards(&mut self, now: Duration, old: &Table, delta: Option<&Delta>) {
+        let before = std::mem::take(&mut self.owned);
+        self.settling.retain(|_, until| now < *until);
+        let Some(me) = self.session else {
+            if !before.is_empty() {
+                self.effects.push(Effect::GrantsChanged);
+            }
+            return;
+        };
+        let table = self.table.clone();
+        for (at, service) in table.services.iter().enumerate() {
+            let id = ServiceId(at as u16);
+            let trusted = checks_grants(&table, id);
+            for (at, shard) in service.shards.iter().enumerate() {
+                if shard.owner != Some(me) {
+                    continue;
+                }
+                let shard_id = ShardId(at as u32);
+                self.owned.push(Held {
+                    service: id,
+                    shard: shard_id,
+                    epoch: shard.epoch,
+                });
+                let had = old.service(id).and_then(|s| s.shards.get(at));
+                let gained = had.is_none_or(|s| s.owner != Some(me));
+                if gained && !trusted && shard.epoch.0 > 1 && !released(delta, id, shard_id) {
+                    let until = now + self.settings.settle;
+                    self.settling.insert((id, shard_id), until);
+                }
+            }
+        }
+        if before != self.owned {
+            self.effects.push(Effect::GrantsChanged);
+        }
+    }
+
+    /// Recomputes what the proposals of optional swaps start from.
+    fn adopt_hints(&mut self, now: Duration) {
+        let table = self.table.clone();
+        self.orphans = spread::any_orphan(&table);
+        let forlorn = table.sessions.iter().filter(|s| {
+            Some(s.id) != self.session && s.lessors.iter().all(|l| table.session(*l).is_none())
+        });
+        let known = std::mem::take(&mut self.forlorn);
+        self.forlorn = forlorn
+            .map(|s| {
+                let same = known.get(&s.id).filter(|(term, _)| *term == s.term);
+                (s.id, same.copied().unwrap_or((s.term, now)))
+            })
+            .collect();
+        self.lost.retain(|id| table.session(*id).is_some());
+        self.suspects.retain(|_, until| now < *until);
+        self.prefers_other = self
+            .session
+            .and_then(|id| table.session(id))
+            .is_some_and(|s| {
+                let best = ring::lessors(&table, s.into(), &[], self.settings.lessors, |id| {
+                    self.suspects.contains_key(&id)
+                });
+                best.iter().any(|id| !s.lessors.contains(id))
+            });
+        for at in 0..table.services.len() {
+            let id = ServiceId(at as u16);
+            if !spread::ready(&table, id).is_empty() {
+                self.gathering.entry(id).or_insert(now);
+            }
+        }
+    }
+}
+
+/// Tells whether all targets of the service check grants themselves.
+fn checks_grants(table: &Table, service: ServiceId) -> bool {
+    let targets = table.sessions.iter().filter_map(|s| s.target.as_ref());
+    let mut own = targets.filter(|t| t.service == service);
+    own.all(|t| t.checks_grants)
+}
+
+/// Tells whether the delta moved the shard after a release.
+fn released(delta: Option<&Delta>, service: ServiceId, shard: ShardId) -> bool {
+    delta.is_some_and(|d| {
+        d.changes.iter().any(|c| {
+            matches!(c, Change::Move { service: s, shard: at, .. } if (*s, *at) == (service, shard))
+        })
+    })
+}
+
+/// Describes a change that another daemon wrote.
+fn describe(old: &Table, change: &Change) -> Option<What> {
+    Some(match change {
+        Change::Join { session } => What::Joined {
+            session: SessionId(old.next_session),
+            vm: session.vm.clone(),
+        },
+        Change::End { session, cause, .. } => What::Ended {
+            session: *session,
+            cause: *cause,
+        },
+        Change::SetLessors {
+            session, lessors, ..
+        } => What::LessorsChanged {
+            session: *session,
+            lessors: lessors.clone(),
+            cause: LessorCause::Learned,
+        },
+        Change::SetTarget { session, .. } => What::TargetChanged { session: *session },
+        Change::DeclareService { name, shards } => What::Declared {
+            name: name.clone(),
+            shards: *shards,
+        },
+        Change::Assign {
+            service,
+            owner,
+            shards,
+        } => What::Assigned {
+            service: *service,
+            owner: *owner,
+            count: shards.len(),
+        },
+        Change::Move {
+            service,
+            shard,
+            from,
+            to,
+            ..
+        } if from == to => What::TakenBack {
+            service: *service,
+            shard: *shard,
+            owner: *to,
+        },
+        Change::Move {
+            service,
+            shard,
+            from,
+            to,
+            ..
+        } => What::Moved {
+            service: *service,
+            shard: *shard,
+            from: *from,
+            to: *to,
+            cause: MoveCause::Learned,
+        },
+        Change::Override {
+            service,
+            key_hash,
+            to,
+            ..
+        } => What::Overridden {
+            service: *service,
+            key_hash: *key_hash,
+            to: *to,
+        },
+    })
+}
--- /dev/null
+++ b/crates/ownership/src/lease/propose.rs
@@ -0,0 +1,362 @@
+//! What a swap of this daemon contains, and when one is due.
+//!
+//! Every swap carries all that its author may change at that moment: the ends of its lost lessees,
+//! adoptions, its own record, released moves, and owners for all orphaned shards.
+
+use std::time::Duration;
+
+use super::api::{Effect, Expiry, Held, MoveBy, Rule};
+use super::core::Core;
+use super::lessee::{Link, lessor_length};
+use super::releases::{Purpose, Release};
+use super::writer::OwnChange;
+use crate::change::Delta;
+use crate::ids::{ServiceId, SessionId};
+use crate::journal::LessorCause;
+use crate::spread;
+use crate::table::{Session, Table, TargetInfo, TargetState};
+
+/// Expected time of one swap under contention. Optional swaps spread over this times the number of
+/// sessions, so that a lost data centre does not make all survivors write at once.
+const SWAP_TIME: Duration = Duration::from_millis(5);
+
+/// Time that released shards of a leaving target wait for each other, to share a swap.
+const GROUP: Duration = Duration::from_millis(10);
+
+/// Time that a new service waits for its targets to announce themselves before its shards get
+/// their first owners.
+const GATHER: Duration = Duration::from_millis(500);
+
+impl Core {
+    /// Does everything that is due at `now`.
+    pub(super) fn advance(&mut self, now: Duration) {
+        self.send_renewals(now);
+        self.release_for_leaving();
+        if let Some(effect) = self.writer.read_back(now, &self.settings) {
+            self.effects.push(effect);
+        }
+        self.ask_lessors(now);
+        let due = self.due_at().is_some_and(|at| at <= now);
+        if self.writer.pending.is_some() || !due || now < self.writer.not_before {
+            return;
+        }
+        // R4: a swap restricts the lessors that count until its outcome is known. Starting it
+        // only after a read answered keeps an outage of the platform from causing that.
+        if self
+            .writer
+            .is_fresh(now, self.table.version, &self.settings)
+        {
+            self.swap(now);
+        } else if let Some(read) = self.writer.read(now) {
+            self.effects.push(read);
+        }
+    }
+
+    fn send_renewals(&mut self, now: Duration) {
+        let version = self.table.version;
+        for renewal in self.lessee.due(now, version, &self.settings) {
+            self.effects.push(Effect::SendRenew(renewal));
+        }
+    }
+
+    /// Asks the other lessors of lessees that are counted out, once the platform answers. The
+    /// answer commits them, and a commitment that no swap can follow would only stop the lessee.
+    fn ask_lessors(&mut self, now: Duration) {
+        let Some(from) = self.session else { return };
+        if self.book.ask_at(&self.settings).is_none_or(|at| now < at) {
+            return;
+        }
+        if !self.writer.platform_answers(now, &self.settings) {
+            if let Some(read) = self.writer.read(now) {
+                self.effects.push(read);
+            }
+            return;
+        }
+        let version = self.table.version;
+        for (to, lessee, term) in self.book.asks(now, &self.settings) {
+            self.effects.push(Effect::SendExpired(Expiry {
+                from,
+                to,
+                lessee,
+                term,
+                version,
+            }));
+        }
+    }
+
+    /// Releases the shards of a target that takes no new work, while another target can take them.
+    fn release_for_leaving(&mut self) {
+        let Some(me) = self.session else { return };
+        let leaving: Vec<Held> = self
+            .owned
+            .iter()
+            .filter(|held| !self.releases.covers(held.service, held.shard))
+            .filter(|held| !self.target_serves(held.service))
+            .copied()
+            .collect();
+        let mut last: Option<(ServiceId, bool)> = None;
+        for held in leaving {
+            let other = match last {
+                Some((service, other)) if service == held.service => other,
+                _ => spread::ready(&self.table, held.service)
+                    .iter()
+                    .any(|(id, _)| *id != me),
+            };
+            last = Some((held.service, other));
+            if other || self.leaving {
+                self.begin_release(held, Purpose::Leave);
+            }
+        }
+        if self.leaving {
+            self.release_keys(me);
+        }
+    }
+
+    fn release_keys(&mut self, me: SessionId) {
+        for (at, service) in self.table.clone().services.iter().enumerate() {
+            let id = ServiceId(at as u16);
+            for own in service
+                .overrides
+                .iter()
+                .filter(|o| o.shard.owner == Some(me))
+            {
+                if !self.releases.covers_key(id, own.key_hash) {
+                    self.release_key(id, own.key_hash, own.shard.epoch, None);
+                }
+            }
+        }
+    }
+
+    /// Tells whether the target beside this daemon takes work of the service.
+    fn target_serves(&self, service: ServiceId) -> bool {
+        let name = self.table.service(service).map(|s| s.name.as_str());
+        !self.leaving
+            && self
+                .target
+                .as_ref()
+                .is_some_and(|t| t.state == TargetState::Ready && Some(t.service.as_str()) == name)
+    }
+
+    /// Returns the time from which a swap is due; `None` when there is nothing to write.
+    pub(super) fn due_at(&self) -> Option<Duration> {
+        let Some(me) = self.session else {
+            return self.join_at();
+        };
+        let own = self.table.session(me)?;
+        let spread = self.spread();
+        let ends = self
+            .book
+            .duties
+            .values()
+            .filter_map(|d| d.end_at(&self.settings));
+        let adoptions = self
+            .forlorn
+            .values()
+            .map(|(_, seen)| *seen + self.settings.lease / 2 + spread);
+        let now = Duration::ZERO;
+        let lost = (!self.lost.is_empty()).then_some(now);
+        let target = (self.wanted_target(&self.table) != own.target).then_some(now);
+        let declare = self.undeclared().next().map(|_| self.learned_at + spread);
+        let queue = (!self.queue.is_empty()).then_some(now);
+        let leave = self.may_leave().then_some(now);
+        ends.chain(adoptions)
+            .chain(lost)
+            .chain(target)
+            .chain(declare)
+            .chain(queue)
+            .chain(leave)
+            .chain(self.move_at())
+            .chain(self.assign_at())
+            .chain(self.lessor_change().map(|(at, _)| at))
+            .min()
+    }
+
+    /// Random share of the time that all sessions together take for a swap each.
+    fn spread(&self) -> Duration {
+        (SWAP_TIME * self.table.sessions.len() as u32).mul_f64(self.noise)
+    }
+
+    fn join_at(&self) -> Option<Duration> {
+        if self.leaving {
+            return None;
+        }
+        Some(match self.predecessor() {
+            Some(_) => self.replace_at(),
+            None => self.me.bound_at,
+        })
+    }
+
+    /// Time from which an old session at the own address may be ended (R7).
+    pub(super) fn replace_at(&self) -> Duration {
+        match self.settings.without {
+            Some(Rule::ReplaceWait) => self.me.bound_at,
+            _ => self.me.bound_at + lessor_length(&self.settings),
+        }
+    }
+
+    /// Returns the session of an earlier process at the own address.
+    pub(super) fn predecessor(&self) -> Option<&Session> {
+        let mut sessions = self.table.sessions.iter();
+        sessions.find(|s| s.address == self.me.address && s.incarnation != self.me.incarnation)
+    }
+
+    pub(super) fn undeclared(&self) -> impl Iterator<Item = &super::api::Declared> {
+        let missing = |d: &&super::api::Declared| self.table.service_id(&d.name).is_none();
+        self.declared.iter().filter(missing)
+    }
+
+    fn move_at(&self) -> Option<Duration> {
+        let keys = self.releases.keys.values();
+        let keys = keys.filter(|k| k.drained).map(|_| Duration::ZERO);
+        let shards = self.releases.shards.values();
+        shards.filter_map(|r| self.release_due(r)).chain(keys).min()
+    }
+
+    fn release_due(&self, release: &Release) -> Option<Duration> {
+        let at = release.drained_at?;
+        if release.machine.state() == "withdrawn" {
+            return Some(at);
+        }
+        Some(match release.purpose {
+            Purpose::Move {
+                by: MoveBy::Planner,
+                ..
+            } => at + self.settings.take_back,
+            Purpose::Leave => at + GROUP,
+            _ => at,
+        })
+    }
+
+    pub(super) fn may_leave(&self) -> bool {
+        let gone = |held: &Held| {
+            let release = self.releases.shards.get(&(held.service, held.shard));
+            release.is_some_and(|r| r.drained_at.is_some())
+        };
+        self.leaving
+            && self.owned.iter().all(gone)
+            && self.releases.keys.values().all(|k| k.drained)
+    }
+
+    fn assign_at(&self) -> Option<Duration> {
+        if !self.orphans {
+            return None;
+        }
+        let new = |id: &ServiceId| !self.gathered(*id, self.learned_at);
+        let waiting = self.gathering.iter().filter(|(id, _)| new(id));
+        let gather = waiting.map(|(_, since)| *since + GATHER).max();
+        Some((self.learned_at + self.spread()).max(gather.unwrap_or_default()))
+    }
+
+    /// Tells whether the shards of a service may get owners: always after the first time.
+    pub(super) fn gathered(&self, service: ServiceId, now: Duration) -> bool {
+        let known = self.table.service(service);
+        let fresh = known.is_none_or(|s| s.shards.iter().all(|s| s.epoch.0 == 0));
+        let since = self.gathering.get(&service);
+        !fresh || since.is_some_and(|since| now >= *since + GATHER)
+    }
+
+    /// Returns what the table should say of the own target.
+    pub(super) fn wanted_target(&self, table: &Table) -> Option<TargetInfo> {
+        let own = self.session.and_then(|id| table.session(id));
+        let known = own.and_then(|s| s.target.clone());
+        let Some(report) = &self.target else {
+            return known.map(|t| TargetInfo {
+                state: TargetState::Away,
+                ..t
+            });
+        };
+        let Some(service) = table.service_id(&report.service) else {
+            return known;
+        };
+        Some(TargetInfo {
+            service,
+            slots: report.slots,
+            checks_grants: report.checks_grants,
+            state: match (self.leaving, report.state) {
+                (true, TargetState::Ready) => TargetState::Draining,
+                (_, state) => state,
+            },
+            capacity: report.capacity,
+        })
+    }
+
+    /// Returns when the own lessors should change, and why (R4, R11).
+    pub(super) fn lessor_change(&self) -> Option<(Duration, LessorCause)> {
+        let own = self.table.session(self.session?)?;
+        if self.writer.ending() {
+            return None;
+        }
+        let spread = self.spread();
+        let learned = self.learned_at;
+        let mut wishes = Vec::new();
+        let ended = own
+            .lessors
+            .iter()
+            .any(|id| self.table.session(*id).is_none());
+        if ended {
+            wishes.push((learned + spread, LessorCause::LessorEnded));
+        }
+        if own.lessors.len() < self.wanted_lessors(&self.table) {
+            wishes.push((learned + spread, LessorCause::TooFew));
+        }
+        if !own.lessors.is_empty() {
+            let out = self.lessee.until.unwrap_or(learned);
+            wishes.push((out + spread, LessorCause::LeaseExpired));
+        }
+        let links = &self.lessee.links;
+        let silent = |l: &Link| l.silent_at(&self.settings);
+        if let Some(first) = links.iter().map(silent).min() {
+            let last = links.iter().map(silent).max().unwrap_or(first);
+            // With no lessor left the change does not wait for others' swaps.
+            wishes.push((last.min(first + spread), LessorCause::LessorSilent));
+        }
+        let steady = links.iter().map(Link::steady_since);
+        if self.prefers_other
+            && !links.is_empty()
+            && let Some(since) = steady.collect::<Option<Vec<_>>>()
+        {
+            let since = since.into_iter().max().unwrap_or_default();
+            let at = since + self.settings.steady + spread * 4;
+            wishes.push((at, LessorCause::Preferred));
+        }
+        let first = wishes.into_iter().min_by_key(|(at, _)| *at);
+        first.map(|(at, cause)| (at.max(self.lessor_hold), cause))
+    }
+
+    pub(super) fn wanted_lessors(&self, table: &Table) -> usize {
+        let others = table.sessions.len().saturating_sub(1);
+        self.settings.lessors.min(others)
+    }
+
+    fn swap(&mut self, now: Duration) {
+        let Some(draft) = self.draft(now) else { return };
+        if draft.changes.is_empty() {
+            // What was due turned out not to be possible; the next table may change that.
+            self.lessor_hold = now + self.settings.lease;
+            self.writer.not_before = now + self.settings.renew / 3;
+            return;
+        }
+        for &lessee in &draft.ends {
+            self.book.commit(lessee);
+        }
+        self.lessee.changing_to = draft.new_lessors;
+        if self.session.is_none() && self.life.state() == "outside" {
+            self.step("swap.started");
+        }
+        let change_id = self.writer.change_id();
+        let delta = Delta {
+            to: self.table.version + 1,
+            change_id,
+            changes: draft.changes,
+        };
+        let mut next = draft.table;
+        next.finish(change_id);
+        let effect = self
+            .writer
+            .start(now, delta, next, draft.own, draft.decisions);
+        self.effects.push(effect);
+        if draft.own == OwnChange::End {
+            self.effects.push(Effect::GrantsChanged);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/lease/releases.rs
@@ -0,0 +1,115 @@
+//! Shards and keys that this daemon gives up (R6).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::api::{Held, MoveBy};
+use crate::chart::{Machine, RELEASE};
+use crate::ids::{Epoch, ServiceId, SessionId, ShardId};
+use crate::table::Table;
+
+/// What follows the release.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// Move to another session.
+    Move { to: SessionId, by: MoveBy },
+    /// Move to whatever target is ready, because the own target leaves.
+    Leave,
+    /// Give one key of the shard an owner of its own.
+    Override { key_hash: u64, to: SessionId },
+}
+
+/// One shard that is given up.
+#[derive(Debug, Clone)]
+pub(super) struct Release {
+    pub epoch: Epoch,
+    pub purpose: Purpose,
+    pub machine: Machine,
+    pub drained_at: Option<Duration>,
+}
+
+/// One overridden key that is given up.
+#[derive(Debug, Clone)]
+pub(super) struct KeyRelease {
+    pub epoch: Epoch,
+    pub to: Option<SessionId>,
+    pub drained: bool,
+}
+
+/// Everything that this daemon gives up.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Releases {
+    pub shards: BTreeMap<(ServiceId, ShardId), Release>,
+    pub keys: BTreeMap<(ServiceId, u64), KeyRelease>,
+}
+
+impl Releases {
+    /// Starts a release. Returns `false` when the shard is being released already.
+    pub fn begin(&mut self, held: Held, purpose: Purpose) -> bool {
+        let at = (held.service, held.shard);
+        if self.shards.contains_key(&at) {
+            return false;
+        }
+        let release = Release {
+            epoch: held.epoch,
+            purpose,
+            machine: Machine::new(&RELEASE),
+            drained_at: None,
+        };
+        self.shards.insert(at, release);
+        true
+    }
+
+    /// Notes that nothing of the shard runs any more.
+    pub fn drained(&mut self, now: Duration, held: Held) {
+        if let Some(release) = self.get_mut(held)
+            && release.machine.step("drained").is_ok()
+        {
+            release.drained_at = Some(now);
+        }
+    }
+
+    /// Gives the release up.
+    pub fn abandon(&mut self, held: Held) {
+        if let Some(release) = self.get_mut(held)
+            && release.machine.step("abandoned") == Ok("closed")
+        {
+            self.shards.remove(&(held.service, held.shard));
+        }
+    }
+
+    fn get_mut(&mut self, held: Held) -> Option<&mut Release> {
+        let release = self.shards.get_mut(&(held.service, held.shard))?;
+        (release.epoch == held.epoch).then_some(release)
+    }
+
+    /// Drops releases whose epoch has passed in the newest table.
+    pub fn adopt(&mut self, me: Option<SessionId>, table: &Table) {
+        self.shards.retain(|(service, shard), release| {
+            let now = table
+                .service(*service)
+                .and_then(|s| s.shards.get(shard.index()));
+            let same = now.is_some_and(|s| s.owner == me && s.epoch == release.epoch);
+            same && me.is_some() || release.machine.step("epoch.passed") != Ok("closed")
+        });
+        self.keys.retain(|(service, key), release| {
+            let found = table
+                .service(*service)
+                .and_then(|s| s.overrides.iter().find(|o| o.key_hash == *key));
+            let same = |s: &crate::table::KeyOverride| {
+                s.shard.owner == me && s.shard.epoch == release.epoch
+            };
+            me.is_some() && found.is_some_and(same)
+        });
+    }
+
+    /// Tells whether the shard is given up.
+    pub fn covers(&self, service: ServiceId, shard: ShardId) -> bool {
+        !self.shards.is_empty() && self.shards.contains_key(&(service, shard))
+    }
+
+    /// Tells whether the overridden key is given up.
+    pub fn covers_key(&self, service: ServiceId, key_hash: u64) -> bool {
+        !self.keys.is_empty() && self.keys.contains_key(&(service, key_hash))
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/lease/writer.rs
@@ -0,0 +1,264 @@
+//! Reads and writes of the table: at most one swap of a core is in flight, and one whose answer
+//! was lost is read back before anything else (R8).
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::api::{CoreSettings, Effect};
+use crate::change::Delta;
+use crate::ids::ChangeId;
+use crate::journal::What;
+use crate::table::{REMEMBERED_CHANGES, Table};
+
+/// Time after which a read or swap that nobody answered counts as lost.
+const WATCHDOG: Duration = Duration::from_secs(5);
+
+/// Times that the back-off after lost races doubles.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// What a swap does to the own record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OwnChange {
+    /// Nothing that gives a lease.
+    None,
+    /// Joins, or changes the lessors (R12).
+    Lease,
+    /// Ends the own session.
+    End,
+}
+
+/// A swap whose effect is not settled.
+#[derive(Debug, Clone)]
+pub(super) struct Pending {
+    pub delta: Delta,
+    pub next: Arc<Table>,
+    pub started: Duration,
+    pub own: OwnChange,
+    pub decisions: Vec<What>,
+    sent: Duration,
+    /// The answer was lost or says conflict; a read has to settle it.
+    read_back: bool,
+}
+
+/// How a swap went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Settled {
+    /// It took effect.
+    Done,
+    /// It did not, and cannot any more.
+    Lost,
+}
+
+/// State of reads and writes.
+#[derive(Debug)]
+pub(super) struct Writer {
+    rng: SmallRng,
+    reads: u64,
+    reading: Option<(u64, Duration)>,
+    /// Version that the platform showed last, and when.
+    fresh: Option<(u64, Duration)>,
+    pub pending: Option<Pending>,
+    pub not_before: Duration,
+    failures: u32,
+    conflicts: u32,
+}
+
+impl Writer {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            reads: 0,
+            reading: None,
+            fresh: None,
+            pending: None,
+            not_before: Duration::ZERO,
+            failures: 0,
+            conflicts: 0,
+        }
+    }
+
+    /// Returns a random time below `limit`.
+    pub fn jitter(&mut self, limit: Duration) -> Duration {
+        limit.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+
+    /// Returns a random number.
+    pub fn random(&mut self) -> u64 {
+        self.rng.random_range(1..u64::MAX)
+    }
+
+    /// Tells whether the platform showed this version within the last lease.
+    pub fn is_fresh(&self, now: Duration, version: u64, settings: &CoreSettings) -> bool {
+        let recent = |at: Duration| now < at + settings.lease;
+        self.fresh
+            .is_some_and(|(have, at)| have == version && recent(at))
+    }
+
+    /// Tells whether the platform answered a read within the last lease.
+    pub fn platform_answers(&self, now: Duration, settings: &CoreSettings) -> bool {
+        self.failures == 0 && self.fresh.is_some_and(|(_, at)| now < at + settings.lease)
+    }
+
+    /// Starts a read unless one is in flight or a back-off runs.
+    pub fn read(&mut self, now: Duration) -> Option<Effect> {
+        if let Some((_, at)) = self.reading
+            && now >= at + WATCHDOG
+        {
+            self.reading = None;
+        }
+        if self.reading.is_some() || now < self.not_before {
+            return None;
+        }
+        self.reads += 1;
+        self.reading = Some((self.reads, now));
+        Some(Effect::ReadTable { read: self.reads })
+    }
+
+    /// Notes the answer to a read. Returns `false` when it answers no current read.
+    pub fn read_answered(
+        &mut self,
+        now: Duration,
+        read: u64,
+        version: Option<u64>,
+        settings: &CoreSettings,
+    ) -> bool {
+        let Some((current, asked)) = self.reading.filter(|(id, _)| *id == read) else {
+            return false;
+        };
+        debug_assert_eq!(current, read);
+        self.reading = None;
+        match version {
+            Some(version) => {
+                self.fresh = Some((version, asked));
+                self.failures = 0;
+            }
+            None => {
+                self.failures += 1;
+                self.fresh = None;
+                self.back_off(now, settings.max_backoff, settings);
+            }
+        }
+        true
+    }
+
+    fn back_off(&mut self, now: Duration, limit: Duration, settings: &CoreSettings) {
+        let limit = limit.min(settings.max_backoff);
+        let wait = limit / 2 + self.jitter(limit / 2);
+        self.not_before = now + wait;
+    }
+
+    /// Starts a swap of the table that was read last.
+    pub fn start(
+        &mut self,
+        now: Duration,
+        delta: Delta,
+        next: Table,
+        own: OwnChange,
+        decisions: Vec<What>,
+    ) -> Effect {
+        let next = Arc::new(next);
+        let pending = Pending {
+            delta: delta.clone(),
+            next: next.clone(),
+            started: now,
+            own,
+            decisions,
+            sent: now,
+            read_back: false,
+        };
+        self.pending = Some(pending);
+        Effect::Swap { delta, next }
+    }
+
+    /// Notes that the answer of the pending swap is lost or says conflict.
+    pub fn unsettled(&mut self, now: Duration, conflict: bool, settings: &CoreSettings) {
+        if let Some(pending) = &mut self.pending {
+            pending.read_back = true;
+        }
+        self.fresh = None;
+        if conflict {
+            self.conflicts = (self.conflicts + 1).min(MAX_DOUBLINGS);
+            let limit = settings.backoff * (1 << self.conflicts);
+            self.back_off(now, limit, settings);
+        }
+    }
+
+    /// Drops the pending swap.
+    pub fn finish(&mut self) -> Option<Pending> {
+        self.pending.take()
+    }
+
+    /// Notes the version that an own swap made.
+    pub fn wrote(&mut self, now: Duration, version: u64) {
+        self.fresh = Some((version, now));
+        self.failures = 0;
+        self.conflicts = 0;
+    }
+
+    /// Tells how the pending swap went, judging by a newer table.
+    pub fn settle(&self, table: &Table) -> Option<Settled> {
+        let pending = self.pending.as_ref()?;
+        if table.version < pending.delta.to {
+            return None;
+        }
+        // Beyond the remembered ids nothing can be told; the own record shows what holds.
+        let remembered = table.version - pending.delta.to < REMEMBERED_CHANGES as u64;
+        let shown = table.recent.contains(&pending.delta.change_id);
+        Some(match remembered && shown {
+            true => Settled::Done,
+            false => Settled::Lost,
+        })
+    }
+
+    /// Returns what a swap without an answer needs: a read, or the same write once more while the
+    /// platform shows the version below it.
+    pub fn read_back(&mut self, now: Duration, settings: &CoreSettings) -> Option<Effect> {
+        let pending = self.pending.as_mut()?;
+        if now >= pending.sent + WATCHDOG {
+            pending.read_back = true;
+        }
+        if !pending.read_back {
+            return None;
+        }
+        let base = pending.delta.to - 1;
+        let stands = self
+            .fresh
+            .is_some_and(|(version, at)| version == base && now < at + settings.lease);
+        if !stands {
+            return self.read(now);
+        }
+        pending.read_back = false;
+        pending.sent = now;
+        Some(Effect::Swap {
+            delta: pending.delta.clone(),
+            next: pending.next.clone(),
+        })
+    }
+
+    /// Time at which a read or repeated write may be due.
+    pub fn next_deadline(&self) -> Option<Duration> {
+        if let Some((_, at)) = self.reading {
+            return Some(at + WATCHDOG);
+        }
+        let pending = self.pending.as_ref()?;
+        Some(match pending.read_back {
+            true => self.not_before,
+            false => pending.sent + WATCHDOG,
+        })
+    }
+
+    /// Returns the id for a new swap.
+    pub fn change_id(&mut self) -> ChangeId {
+        ChangeId(self.random())
+    }
+
+    /// Tells whether a swap that ends the own session is in the air.
+    pub fn ending(&self) -> bool {
+        self.pending
+            .as_ref()
+            .is_some_and(|p| p.own == OwnChange::End)
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,6 +9,13 @@
 //! - the version of the table never falls,
 //! - an epoch of a shard is never used twice.
 
+pub mod apply;
 pub mod change;
+pub mod chart;
+pub mod checker;
 pub mod ids;
+pub mod journal;
+pub mod lease;
+pub mod ring;
+pub mod spread;
 pub mod table;
--- /dev/null
+++ b/crates/ownership/src/spread.rs
@@ -0,0 +1,124 @@
+//! Gives shards without an owner to sessions, in proportion to capacity and without moving others.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use crate::change::Change;
+use crate::ids::{ServiceId, SessionId, ShardId};
+use crate::table::{Session, Table, TargetState};
+
+/// Returns the sessions with a ready target of the service and their weights, which are measured
+/// capacities when all are known and slots otherwise.
+pub fn ready(table: &Table, service: ServiceId) -> Vec<(SessionId, u32)> {
+    let targets: Vec<_> = table
+        .sessions
+        .iter()
+        .filter_map(|s| Some((s.id, ready_target(s, service)?)))
+        .collect();
+    let measured = targets.iter().all(|(_, t)| t.capacity > 0);
+    let weight = |t: &crate::table::TargetInfo| match measured {
+        true => t.capacity,
+        false => u32::from(t.slots).max(1),
+    };
+    targets.iter().map(|(id, t)| (*id, weight(t))).collect()
+}
+
+fn ready_target(s: &Session, service: ServiceId) -> Option<&crate::table::TargetInfo> {
+    let target = s.target.as_ref()?;
+    (target.service == service && target.state == TargetState::Ready).then_some(target)
+}
+
+/// Tells whether some shard has no owner although a target of its service is ready.
+pub fn any_orphan(table: &Table) -> bool {
+    table.services.iter().enumerate().any(|(at, service)| {
+        let id = ServiceId(at as u16);
+        service.shards.iter().any(|s| s.owner.is_none())
+            && table.sessions.iter().any(|s| ready_target(s, id).is_some())
+    })
+}
+
+/// Returns the changes that give every orphaned shard to a ready target, the least loaded for its
+/// weight first. Sessions that `avoid` names get shards only when there is no other. Services for
+/// which `skip` holds are left alone.
+pub fn assign(
+    table: &Table,
+    avoid: impl Fn(SessionId) -> bool,
+    skip: impl Fn(ServiceId) -> bool,
+) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for at in 0..table.services.len() {
+        let service = ServiceId(at as u16);
+        if !skip(service) {
+            assign_service(table, service, &avoid, &mut changes);
+        }
+    }
+    changes
+}
+
+fn assign_service(
+    table: &Table,
+    service: ServiceId,
+    avoid: impl Fn(SessionId) -> bool,
+    changes: &mut Vec<Change>,
+) {
+    let shards = &table.services[service.index()].shards;
+    let orphans: Vec<_> = (0..shards.len())
+        .filter(|&at| shards[at].owner.is_none())
+        .map(|at| ShardId(at as u32))
+        .collect();
+    let owners = owners_for(table, service, orphans.len(), avoid, None);
+    let mut given: BTreeMap<SessionId, Vec<ShardId>> = BTreeMap::new();
+    for (shard, owner) in orphans.into_iter().zip(owners) {
+        given.entry(owner).or_default().push(shard);
+    }
+    changes.extend(given.into_iter().map(|(owner, shards)| Change::Assign {
+        service,
+        owner,
+        shards,
+    }));
+}
+
+/// Returns owners for `count` more shards of a service, the least loaded for its weight first;
+/// empty when no target but that of `except` is ready.
+pub fn owners_for(
+    table: &Table,
+    service: ServiceId,
+    count: usize,
+    avoid: impl Fn(SessionId) -> bool,
+    except: Option<SessionId>,
+) -> Vec<SessionId> {
+    if count == 0 {
+        return Vec::new();
+    }
+    let mut ready = ready(table, service);
+    ready.retain(|(id, _)| Some(*id) != except);
+    if ready.iter().any(|(id, _)| !avoid(*id)) {
+        ready.retain(|(id, _)| !avoid(*id));
+    }
+    let mut counts: BTreeMap<SessionId, u64> = BTreeMap::new();
+    for owner in table.services[service.index()]
+        .shards
+        .iter()
+        .filter_map(|s| s.owner)
+    {
+        *counts.entry(owner).or_default() += 1;
+    }
+    // Load after one more shard, in millionths of a shard per unit of weight.
+    let load = |count: u64, weight: u32| (count + 1) * 1_000_000 / u64::from(weight.max(1));
+    let mut heap: BinaryHeap<_> = ready
+        .iter()
+        .map(|&(id, weight)| {
+            let count = counts.get(&id).copied().unwrap_or(0);
+            Reverse((load(count, weight), id, weight, count))
+        })
+        .collect();
+    let mut owners = Vec::with_capacity(count);
+    while owners.len() < count {
+        let Some(Reverse((_, id, weight, count))) = heap.pop() else {
+            break;
+        };
+        owners.push(id);
+        heap.push(Reverse((load(count + 1, weight), id, weight, count + 1)));
+    }
+    owners
+}
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -5,13 +5,29 @@
 
 use std::net::SocketAddr;
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, TableVersion};
+use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, TableVersion, shard_of};
 
 /// The most shards that all services may have together, so that the value stays below 1 MB.
 pub const MAX_SHARDS: usize = 65_536;
 
+/// The most sessions of one table.
+pub const MAX_SESSIONS: usize = 2_048;
+
+/// The most services of one table.
+pub const MAX_SERVICES: usize = 256;
+
+/// The most key overrides of one service.
+pub const MAX_OVERRIDES: usize = 64;
+
+/// The most bytes of a name in the table.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Largest encoded table in bytes, as the platform's service stores it.
+pub const MAX_TABLE_BYTES: usize = 1 << 20;
+
 /// Number of change ids that the table remembers for authors who lost the answer to a swap.
 pub const REMEMBERED_CHANGES: usize = 128;
 
@@ -131,3 +147,57 @@
         self.services.get(id.index())
     }
 }
+
+impl Service {
+    /// Returns the shard that a key falls into, overrides left aside. The service is divided.
+    pub fn shard_of(&self, key_hash: u64) -> Shard {
+        self.shards[shard_of(key_hash, self.shards.len() as u32).index()]
+    }
+}
+
+/// Why an encoded table cannot be read or written.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum CodecError {
+    /// table of {0} bytes exceeds the limit of 1048576 bytes
+    TooLarge(usize),
+    /// malformed table: {0}
+    Malformed(String),
+    /// {0} bytes left over after the table
+    TrailingBytes(usize),
+}
+
+impl std::error::Error for CodecError {}
+
+/// Encodes a table as bincode in its standard configuration.
+///
+/// # Errors
+///
+/// [`CodecError::TooLarge`] above [`MAX_TABLE_BYTES`].
+pub fn encode(table: &Table) -> Result<Vec<u8>, CodecError> {
+    let bytes = bincode::serde::encode_to_vec(table, bincode::config::standard())
+        .map_err(|e| CodecError::Malformed(e.to_string()))?;
+    if bytes.len() > MAX_TABLE_BYTES {
+        return Err(CodecError::TooLarge(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes a table.
+///
+/// # Errors
+///
+/// [`CodecError::TooLarge`] before anything is decoded; the others when the bytes are not one
+/// table.
+pub fn decode(bytes: &[u8]) -> Result<Table, CodecError> {
+    if bytes.len() > MAX_TABLE_BYTES {
+        return Err(CodecError::TooLarge(bytes.len()));
+    }
+    // The limit bounds allocations that a forged length could ask for.
+    let config = bincode::config::standard().with_limit::<MAX_TABLE_BYTES>();
+    let (table, used) = bincode::serde::decode_from_slice(bytes, config)
+        .map_err(|e| CodecError::Malformed(e.to_string()))?;
+    if used != bytes.len() {
+        return Err(CodecError::TrailingBytes(bytes.len() - used));
+    }
+    Ok(table)
+}
