Add the grammar of operators' questions and commands

Cause: operators ask and command in one-line sentences. The daemon and the tool need one typed form of them, and a mistake needs its place.

Ruled out: backtracking alternatives, whose error names the last alternative instead of the first word that does not fit. Each word decides the next step instead.

Change: parse() with winnow into Sentence, text that parses back, the list of forms for help texts. Keys with spaces, quotes or question marks stand in double quotes.

Conclusion: answers and the tool can be built on Sentence.

--- /dev/null
+++ b/crates/language/src/error.rs
@@ -0,0 +1,73 @@
+//! Why a line is no sentence.
+
+use winnow::error::ParserError;
+use winnow::stream::Location;
+
+use crate::lexer::Input;
+
+/// Longest part of the line that an error repeats, in characters.
+const MAX_FOUND_CHARS: usize = 40;
+
+/// A fault of the line with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error {
+    /// Byte offset in the line.
+    pub offset: usize,
+    /// Column in characters, counted from 1.
+    pub column: usize,
+    /// The word at that place; empty at the end of the line.
+    pub found: String,
+    /// Valid words or forms at that place.
+    pub expected: Vec<&'static str>,
+    /// Valid word that is near to the one found.
+    pub nearest: Option<&'static str>,
+}
+
+/// Result of this crate.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl Error {
+    /// Makes an error at a byte offset. The column is set at the end of parsing, from the whole
+    /// line.
+    pub(crate) fn new(offset: usize, found: &str, expected: &[&'static str]) -> Self {
+        Self {
+            offset,
+            column: 0,
+            found: found.chars().take(MAX_FOUND_CHARS).collect(),
+            expected: expected.to_vec(),
+            nearest: None,
+        }
+    }
+}
+
+impl ParserError<Input<'_>> for Error {
+    type Inner = Self;
+
+    fn from_input(input: &Input<'_>) -> Self {
+        Self::new(input.current_token_start(), "", &[])
+    }
+
+    fn into_inner(self) -> std::result::Result<Self::Inner, Self> {
+        Ok(self)
+    }
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "column {}: ", self.column)?;
+        match self.found.as_str() {
+            "" => f.write_str("the sentence ends here")?,
+            found => write!(f, "`{found}` is not understood")?,
+        }
+        if let Some(near) = self.nearest {
+            write!(f, "; did you mean `{near}`?")?;
+        }
+        match self.expected.as_slice() {
+            [] => Ok(()),
+            [one] => write!(f, "; expected {one}"),
+            many => write!(f, "; expected one of {}", many.join(", ")),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/language/src/grammar.rs
@@ -0,0 +1,294 @@
+//! The grammar. Each word decides the next step, so nothing is tried twice and the error names the
+//! first word that does not fit.
+
+use std::time::Duration;
+
+use winnow::Parser;
+use winnow::ascii::digit1;
+use winnow::combinator::preceded;
+use winnow::stream::{Location, Stream};
+use winnow::token::rest;
+
+use crate::error::{Error, Result};
+use crate::lexer::{Input, MAX_SENTENCE_BYTES, blank, end, key, keyword, name, number, unexpected};
+use crate::sentence::{Sentence, Setting, Thing};
+
+const A_VM: &str = "the name of a VM";
+const A_SERVICE: &str = "the name of a service";
+const A_SETTING: &str = "a setting such as search.deadline_ms or rules.max_draining";
+const A_SPAN: &str = "a span such as 30s, 10m, 2h or 1d, at most 31d";
+
+/// Longest span of `show changes since`.
+const MAX_SPAN: Duration = Duration::from_secs(31 * 86_400);
+
+/// Longest value of `set`, in bytes.
+const MAX_VALUE_BYTES: usize = 512;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Verb {
+    Who,
+    What,
+    Why,
+    Show,
+    Help,
+    Drain,
+    Return,
+    Move,
+    Set,
+    Confirm,
+}
+
+const VERBS: &[(&str, Verb)] = &[
+    ("who", Verb::Who),
+    ("what", Verb::What),
+    ("why", Verb::Why),
+    ("show", Verb::Show),
+    ("list", Verb::Show),
+    ("help", Verb::Help),
+    ("drain", Verb::Drain),
+    ("return", Verb::Return),
+    ("move", Verb::Move),
+    ("set", Verb::Set),
+    ("confirm", Verb::Confirm),
+];
+
+/// Parses one sentence.
+///
+/// # Errors
+///
+/// The first place that does not fit, with what was expected there and the nearest valid word.
+pub fn parse(line: &str) -> Result<Sentence> {
+    let line = line.trim_end();
+    let mut input = Input::new(line);
+    let parsed = check_line(line).and_then(|()| sentence(&mut input));
+    parsed.map_err(|mut error| {
+        let before = line.get(..error.offset).unwrap_or_default();
+        error.column = before.chars().count() + 1;
+        error
+    })
+}
+
+fn check_line(line: &str) -> Result<()> {
+    if line.len() > MAX_SENTENCE_BYTES {
+        return Err(Error::new(0, "the line", &["at most 1024 bytes"]));
+    }
+    match line
+        .char_indices()
+        .find(|(_, c)| c.is_control() && *c != '\t')
+    {
+        Some((at, c)) => {
+            let found = c.escape_default().to_string();
+            Err(Error::new(
+                at,
+                &found,
+                &["one line without control characters"],
+            ))
+        }
+        None => Ok(()),
+    }
+}
+
+fn sentence(input: &mut Input<'_>) -> Result<Sentence> {
+    let mut ahead = *input;
+    if keyword(&mut ahead, &[("please", ())]).is_ok() {
+        *input = ahead;
+    }
+    let sentence = match keyword(input, VERBS)? {
+        Verb::Who => who(input)?,
+        Verb::What => what(input)?,
+        Verb::Why => why(input)?,
+        Verb::Show => show(input)?,
+        Verb::Move => move_to(input)?,
+        Verb::Set => return set(input),
+        Verb::Confirm => {
+            keyword(input, &[("lost", ())])?;
+            Sentence::ConfirmLost { vm: vm(input)? }
+        }
+        Verb::Drain => Sentence::Drain { vm: vm(input)? },
+        Verb::Return => Sentence::Return { vm: vm(input)? },
+        Verb::Help => Sentence::Help,
+    };
+    end(input)?;
+    Ok(sentence)
+}
+
+fn vm(input: &mut Input<'_>) -> Result<String> {
+    name(input, A_VM)
+}
+
+fn who(input: &mut Input<'_>) -> Result<Sentence> {
+    keyword(input, &[("owns", ()), ("handles", ()), ("has", ())])?;
+    Ok(Sentence::Who {
+        thing: thing(input)?,
+    })
+}
+
+fn what(input: &mut Input<'_>) -> Result<Sentence> {
+    keyword(input, &[("does", ())])?;
+    let vm = vm(input)?;
+    own(input)?;
+    Ok(Sentence::What { vm })
+}
+
+fn own(input: &mut Input<'_>) -> Result<()> {
+    keyword(input, &[("own", ()), ("handle", ()), ("have", ())])
+}
+
+fn why(input: &mut Input<'_>) -> Result<Sentence> {
+    let owns = keyword(input, &[("does", true), ("is", false)])?;
+    let vm = vm(input)?;
+    if owns {
+        own(input)?;
+        return Ok(Sentence::Why {
+            vm,
+            thing: thing(input)?,
+        });
+    }
+    keyword(input, &[("away", ()), ("draining", ()), ("lost", ())])?;
+    Ok(Sentence::WhyAway { vm })
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Topic {
+    Services,
+    Targets,
+    Load,
+    Changes,
+    Config,
+}
+
+fn show(input: &mut Input<'_>) -> Result<Sentence> {
+    let topic = keyword(
+        input,
+        &[
+            ("services", Topic::Services),
+            ("targets", Topic::Targets),
+            ("load", Topic::Load),
+            ("changes", Topic::Changes),
+            ("config", Topic::Config),
+            ("configuration", Topic::Config),
+        ],
+    )?;
+    Ok(match topic {
+        Topic::Services => Sentence::ShowServices,
+        Topic::Targets => Sentence::ShowTargets {
+            service: of_service(input)?,
+        },
+        Topic::Load => Sentence::ShowLoad {
+            service: of_service(input)?,
+        },
+        Topic::Changes => Sentence::ShowChanges {
+            since: since(input)?,
+        },
+        Topic::Config => Sentence::ShowConfig,
+    })
+}
+
+fn of_service(input: &mut Input<'_>) -> Result<Option<String>> {
+    if end(&mut input.clone()).is_ok() {
+        return Ok(None);
+    }
+    keyword(input, &[("of", ())])?;
+    name(input, A_SERVICE).map(Some)
+}
+
+fn since(input: &mut Input<'_>) -> Result<Option<Duration>> {
+    if end(&mut input.clone()).is_ok() {
+        return Ok(None);
+    }
+    keyword(input, &[("since", ())])?;
+    let start = input.checkpoint();
+    match span(input) {
+        Ok(span) if !span.is_zero() && span <= MAX_SPAN => Ok(Some(span)),
+        _ => {
+            input.reset(&start);
+            Err(unexpected(input, &[A_SPAN]))
+        }
+    }
+}
+
+fn span(input: &mut Input<'_>) -> Result<Duration> {
+    let count: u64 = preceded(blank, digit1.parse_to()).parse_next(input)?;
+    let units = &[("s", 1), ("m", 60), ("h", 3_600), ("d", 86_400)];
+    let unit: u64 = keyword(input, units)?;
+    Ok(Duration::from_secs(count.saturating_mul(unit)))
+}
+
+fn thing(input: &mut Input<'_>) -> Result<Thing> {
+    let start = input.checkpoint();
+    let service = name(input, "the name of a service, or `it`")?;
+    // `it` alone is the last subject; followed by `key` or `shard` it is a service of that name.
+    let mut ahead = *input;
+    let kind = keyword(&mut ahead, &[("key", true), ("shard", false)]);
+    match kind {
+        Ok(is_key) => {
+            *input = ahead;
+            if is_key {
+                return Ok(Thing::Key {
+                    service,
+                    key: key(input)?,
+                });
+            }
+            Ok(Thing::Shard {
+                service,
+                shard: number(input)?,
+            })
+        }
+        Err(_) if service.eq_ignore_ascii_case("it") => Ok(Thing::It),
+        Err(error) => {
+            input.reset(&start);
+            Err(error)
+        }
+    }
+}
+
+fn move_to(input: &mut Input<'_>) -> Result<Sentence> {
+    let thing = thing(input)?;
+    keyword(input, &[("to", ())])?;
+    Ok(Sentence::Move {
+        thing,
+        to: vm(input)?,
+    })
+}
+
+/// The value runs to the end of the line, since it may be a list.
+fn set(input: &mut Input<'_>) -> Result<Sentence> {
+    let setting = setting(input)?;
+    blank(input)?;
+    let at = input.current_token_start();
+    let value = rest.parse_next(input)?;
+    let value = value.strip_prefix('=').unwrap_or(value).trim();
+    if value.is_empty() || value.starts_with('=') || value.len() > MAX_VALUE_BYTES {
+        return Err(Error::new(at, value, &["a value of at most 512 bytes"]));
+    }
+    Ok(Sentence::Set {
+        setting,
+        value: value.into(),
+    })
+}
+
+fn setting(input: &mut Input<'_>) -> Result<Setting> {
+    let start = input.checkpoint();
+    let mut read = || -> Result<Setting> {
+        blank(input)?;
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '_' | '-');
+        let part = || winnow::token::take_while(1..=crate::lexer::MAX_NAME_BYTES, allowed);
+        let (scope, _, key): (&str, char, &str) = (part(), '.', part()).parse_next(input)?;
+        Ok(Setting {
+            scope: scope.into(),
+            key: key.to_ascii_lowercase(),
+        })
+    };
+    let found = read();
+    let ended = input
+        .chars()
+        .next()
+        .is_none_or(|c| c.is_whitespace() || c == '=');
+    match found {
+        Ok(setting) if ended => Ok(setting),
+        _ => {
+            input.reset(&start);
+            Err(unexpected(input, &[A_SETTING]))
+        }
+    }
+}
--- /dev/null
+++ b/crates/language/src/sentence.rs
@@ -0,0 +1,200 @@
+//! Sentences as values, and their text.
+
+use std::fmt::{Display, Formatter};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What a question or command is about.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Thing {
+    /// One key of a service.
+    Key {
+        /// Name of the service.
+        service: String,
+        /// The key, not empty and without control characters.
+        key: String,
+    },
+    /// One shard of a service.
+    Shard {
+        /// Name of the service.
+        service: String,
+        /// Index of the shard.
+        shard: u32,
+    },
+    /// The subject of the question before.
+    It,
+}
+
+/// A setting of the deployment configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Setting {
+    /// Name of a service, or `rules`.
+    pub scope: String,
+    /// Key in the configuration text.
+    pub key: String,
+}
+
+/// One question or command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "sentence")]
+pub enum Sentence {
+    /// Which VM owns a key or shard.
+    Who {
+        /// The key or shard.
+        thing: Thing,
+    },
+    /// What a VM owns.
+    What {
+        /// Name of the VM.
+        vm: String,
+    },
+    /// Why a VM owns a key or shard.
+    Why {
+        /// Name of the VM.
+        vm: String,
+        /// The key or shard.
+        thing: Thing,
+    },
+    /// Why a VM takes no new work.
+    WhyAway {
+        /// Name of the VM.
+        vm: String,
+    },
+    /// All services.
+    ShowServices,
+    /// Targets, of one service or of all.
+    ShowTargets {
+        /// Name of the service.
+        service: Option<String>,
+    },
+    /// Load of the targets, of one service or of all.
+    ShowLoad {
+        /// Name of the service.
+        service: Option<String>,
+    },
+    /// Newest decisions.
+    ShowChanges {
+        /// How far back; everything that the journal holds when absent.
+        since: Option<Duration>,
+    },
+    /// The configuration in force.
+    ShowConfig,
+    /// The forms of the language.
+    Help,
+    /// Takes a target out of service.
+    Drain {
+        /// Name of its VM.
+        vm: String,
+    },
+    /// Takes a drained target back into service.
+    Return {
+        /// Name of its VM.
+        vm: String,
+    },
+    /// Gives a key or shard to another VM.
+    Move {
+        /// The key or shard.
+        thing: Thing,
+        /// Name of the VM.
+        to: String,
+    },
+    /// Changes one setting of the configuration.
+    Set {
+        /// The setting.
+        setting: Setting,
+        /// Value as it stands in the configuration text.
+        value: String,
+    },
+    /// Confirms that a VM is lost for good, so that its session may be ended.
+    ConfirmLost {
+        /// Name of the VM.
+        vm: String,
+    },
+}
+
+impl Sentence {
+    /// Returns whether the sentence changes something.
+    pub fn is_command(&self) -> bool {
+        matches!(
+            self,
+            Self::Drain { .. }
+                | Self::Return { .. }
+                | Self::Move { .. }
+                | Self::Set { .. }
+                | Self::ConfirmLost { .. }
+        )
+    }
+}
+
+impl Display for Sentence {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Who { thing } => write!(f, "who owns {thing}"),
+            Self::What { vm } => write!(f, "what does {vm} own"),
+            Self::Why { vm, thing } => write!(f, "why does {vm} own {thing}"),
+            Self::WhyAway { vm } => write!(f, "why is {vm} away"),
+            Self::ShowServices => f.write_str("show services"),
+            Self::ShowTargets { service } => show(f, "targets", service.as_deref()),
+            Self::ShowLoad { service } => show(f, "load", service.as_deref()),
+            Self::ShowChanges { since: None } => f.write_str("show changes"),
+            Self::ShowChanges { since: Some(since) } => {
+                write!(f, "show changes since {}", span(*since))
+            }
+            Self::ShowConfig => f.write_str("show config"),
+            Self::Help => f.write_str("help"),
+            Self::Drain { vm } => write!(f, "drain {vm}"),
+            Self::Return { vm } => write!(f, "return {vm}"),
+            Self::Move { thing, to } => write!(f, "move {thing} to {to}"),
+            Self::Set { setting, value } => {
+                write!(f, "set {}.{} {value}", setting.scope, setting.key)
+            }
+            Self::ConfirmLost { vm } => write!(f, "confirm lost {vm}"),
+        }
+    }
+}
+
+fn show(f: &mut Formatter<'_>, what: &str, service: Option<&str>) -> std::fmt::Result {
+    match service {
+        None => write!(f, "show {what}"),
+        Some(service) => write!(f, "show {what} of {service}"),
+    }
+}
+
+/// Writes a duration in the largest unit that divides it. Parts of a second are dropped.
+fn span(duration: Duration) -> String {
+    let seconds = duration.as_secs();
+    let units = [(86_400, 'd'), (3_600, 'h'), (60, 'm')];
+    match units
+        .iter()
+        .find(|(length, _)| seconds > 0 && seconds.is_multiple_of(*length))
+    {
+        Some((length, unit)) => format!("{}{unit}", seconds / length),
+        None => format!("{seconds}s"),
+    }
+}
+
+impl Display for Thing {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Key { service, key } => write!(f, "{service} key {}", Quoted(key)),
+            Self::Shard { service, shard } => write!(f, "{service} shard {shard}"),
+            Self::It => f.write_str("it"),
+        }
+    }
+}
+
+/// A key, in quotes when it would not read back as one word.
+struct Quoted<'a>(&'a str);
+
+impl Display for Quoted<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let special = |c: char| c.is_whitespace() || matches!(c, '"' | '\\' | '?');
+        if !self.0.is_empty() && !self.0.contains(special) {
+            return f.write_str(self.0);
+        }
+        let escaped = self.0.replace('\\', "\\\\").replace('"', "\\\"");
+        write!(f, "\"{escaped}\"")
+    }
+}
