--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! compares them after a run.
 
 pub mod http1;
+pub mod load;
 pub mod payload;
 pub mod platform;
 pub mod records;
--- a/crates/bench/src/records.rs
+++ b/crates/bench/src/records.rs
@@ -77,6 +77,8 @@
     pub key: String,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether it asked for long work.
+    pub long: bool,
     /// When it was due, boot-time clock in microseconds.
     pub due_us: u64,
     /// Time from due to the end of the answer in microseconds.
--- /dev/null
+++ b/crates/bench/tests/load.rs
@@ -0,0 +1,69 @@
+//! The load tool against target stand-ins.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::Method;
+use masticdeal_bench::load::{Plan, Service, Summary, run};
+use masticdeal_bench::records::Seen;
+use masticdeal_bench::target::{Settings, serve};
+use masticdeal_policy::Verdict;
+
+async fn plan(settings: Settings) -> Plan {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let service = Service {
+        name: "search".into(),
+        weight: 1.0,
+        method: Method::GET,
+        addresses: vec![listener.local_addr().unwrap()],
+    };
+    tokio::spawn(serve(listener, settings));
+    Plan {
+        services: vec![service],
+        rate: 400.0,
+        duration: Duration::from_millis(500),
+        deadline: Duration::from_secs(20),
+        ..Plan::default()
+    }
+}
+
+/// Guards against outcomes that go missing, and answers that are misjudged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_due_request_has_one_outcome() {
+    let settings = Settings {
+        queue: 1_000,
+        ..Settings::default()
+    };
+    let plan = plan(settings).await;
+    let outcomes = run(plan.clone(), Arc::default()).await;
+    assert_that!(outcomes.len(), gt(100));
+    let ids: std::collections::BTreeSet<_> = outcomes.iter().map(|o| &o.id).collect();
+    assert_that!(ids.len(), eq(outcomes.len()));
+    assert_that!(outcomes.iter().all(|o| o.seen == Seen::Answered), eq(true));
+    let summary = Summary::of(&outcomes, plan.duration);
+    assert_that!(
+        summary.latency_us["search"].count,
+        eq(outcomes.len() as u64)
+    );
+}
+
+/// Guards against refusals that are counted as answers or lose their verdict.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shed_requests_are_failures_with_their_verdict() {
+    let settings = Settings {
+        slots: 1,
+        queue: 0,
+        work: Duration::from_millis(100),
+        ..Settings::default()
+    };
+    let outcomes = run(plan(settings).await, Arc::default()).await;
+    let failed: Vec<_> = outcomes.iter().filter(|o| o.seen == Seen::Failed).collect();
+    assert_that!(failed.is_empty(), eq(false));
+    assert_that!(
+        failed.iter().all(|o| o.verdict == Some(Verdict::NotRun)),
+        eq(true)
+    );
+    let answered = outcomes.iter().filter(|o| o.seen == Seen::Answered).count();
+    assert_that!(failed.len() + answered, eq(outcomes.len()));
+}
