--- /dev/null
+++ b/crates/bench/src/check.rs
@@ -0,0 +1,233 @@
+//! Compares the records of callers and targets after a run.
+//!
+//! All processes of a run share one boot-time clock, so starts at different targets have one
+//! order. A request counts for the owner under whose epoch it started: one that still runs when
+//! the next owner starts is reported as an overlap and is no violation.
+
+use std::collections::{BTreeMap, HashMap};
+
+use displaydoc::Display;
+use masticdeal_policy::Verdict;
+
+use crate::records::{Event, Outcome, Seen, Step};
+
+/// A broken promise.
+#[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    /// shard {shard}: epoch {epoch} started work at both {first} and {second}
+    TwoOwners {
+        /// Service and shard.
+        shard: String,
+        /// The epoch.
+        epoch: u32,
+        /// Target that started first.
+        first: String,
+        /// The other target.
+        second: String,
+    },
+    /// shard {shard}: {id} started at {target} under epoch {epoch}, {late_us} us after epoch {newer_epoch} at {newer}
+    EpochWentBack {
+        /// Service and shard.
+        shard: String,
+        /// Request under the older epoch.
+        id: String,
+        /// Target under the older epoch.
+        target: String,
+        /// The older epoch.
+        epoch: u32,
+        /// Target under the newer epoch.
+        newer: String,
+        /// The newer epoch.
+        newer_epoch: u32,
+        /// Time since the first start under the newer epoch, in microseconds.
+        late_us: u64,
+    },
+    /// {id} is not idempotent and started {starts} times
+    Doubled {
+        /// Request.
+        id: String,
+        /// Number of starts.
+        starts: usize,
+    },
+    /// {id} was answered, but {target} has no record of its end
+    Lost {
+        /// Request.
+        id: String,
+        /// Target that the answer names.
+        target: String,
+    },
+    /// {id} started at {target}, although its caller was told that it did not run
+    NotRunRan {
+        /// Request.
+        id: String,
+        /// Target of the first start.
+        target: String,
+    },
+    /// {id} got an answer passed off as whole: {fault}
+    WrongAnswer {
+        /// Request.
+        id: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// {0}
+    Other(String),
+}
+
+/// Result of the comparison.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// Requests that were due.
+    pub sent: usize,
+    /// Requests with a whole answer of their own.
+    pub answered: usize,
+    /// Starts at targets.
+    pub starts: usize,
+    /// Keys whose next owner started while an earlier owner's request still ran.
+    pub overlaps: usize,
+    /// Idempotent requests that started more than once.
+    pub repeated: usize,
+}
+
+impl Report {
+    /// Counts the violations of one kind.
+    pub fn count(&self, kind: impl Fn(&Violation) -> bool) -> usize {
+        self.violations.iter().filter(|v| kind(v)).count()
+    }
+}
+
+/// Compares the events of all targets with the outcomes of all callers.
+pub fn check(events: &[Event], outcomes: &[Outcome]) -> Report {
+    let mut report = Report {
+        sent: outcomes.len(),
+        answered: outcomes.iter().filter(|o| o.seen == Seen::Answered).count(),
+        ..Report::default()
+    };
+    let mut starts: Vec<&Event> = events.iter().filter(|e| e.step == Step::Start).collect();
+    starts.sort_by_key(|e| e.at_us);
+    report.starts = starts.len();
+    check_requests(&mut report, events, outcomes);
+    check_owners(&mut report, &starts);
+    report.overlaps = overlaps(events, &starts);
+    report
+}
+
+fn check_requests(report: &mut Report, events: &[Event], outcomes: &[Outcome]) {
+    let mut by_id: HashMap<&str, Vec<&Event>> = HashMap::new();
+    for event in events {
+        by_id.entry(&event.id).or_default().push(event);
+    }
+    for outcome in outcomes {
+        let of_id = by_id.get(outcome.id.as_str()).map_or(&[][..], |v| v);
+        check_request(report, outcome, of_id);
+    }
+}
+
+fn check_request(report: &mut Report, outcome: &Outcome, events: &[&Event]) {
+    let id = outcome.id.clone();
+    let starts: Vec<_> = events.iter().filter(|e| e.step == Step::Start).collect();
+    if starts.len() > 1 && outcome.idempotent {
+        report.repeated += 1;
+    } else if starts.len() > 1 {
+        let starts = starts.len();
+        let id = id.clone();
+        report.violations.push(Violation::Doubled { id, starts });
+    }
+    let ended = |target| {
+        events
+            .iter()
+            .any(|e| e.step == Step::Finished && e.target == target)
+    };
+    let target = outcome.target.clone().unwrap_or_default();
+    let violation = match (outcome.seen, outcome.verdict, starts.first()) {
+        (Seen::Answered, _, _) if !ended(target.as_str()) => Violation::Lost { id, target },
+        (Seen::Wrong, _, _) => Violation::WrongAnswer {
+            id,
+            fault: outcome.reason.clone().unwrap_or_default(),
+        },
+        (Seen::Failed, Some(Verdict::NotRun), Some(start)) => Violation::NotRunRan {
+            id,
+            target: start.target.clone(),
+        },
+        _ => return,
+    };
+    report.violations.push(violation);
+}
+
+/// What is known of a shard, or of a key, from the starts so far.
+struct Newest<'a> {
+    epoch: u32,
+    target: &'a str,
+    since_us: u64,
+}
+
+fn check_owners(report: &mut Report, starts: &[&Event]) {
+    let mut newest: BTreeMap<(&str, u32), Newest<'_>> = BTreeMap::new();
+    let mut holders: HashMap<(&str, u32, u32), &str> = HashMap::new();
+    for start in starts {
+        let (Some(shard), Some(epoch)) = (start.shard, start.epoch) else {
+            continue;
+        };
+        let service = start.key.split('/').next().unwrap_or("");
+        let holder = *holders
+            .entry((service, shard, epoch))
+            .or_insert(&start.target);
+        if holder != start.target {
+            report.violations.push(Violation::TwoOwners {
+                shard: format!("{service}/{shard}"),
+                epoch,
+                first: holder.to_owned(),
+                second: start.target.clone(),
+            });
+        }
+        let seen = newest.entry((service, shard)).or_insert(Newest {
+            epoch,
+            target: &start.target,
+            since_us: start.at_us,
+        });
+        if epoch < seen.epoch && seen.target != start.target {
+            report.violations.push(Violation::EpochWentBack {
+                shard: format!("{service}/{shard}"),
+                id: start.id.clone(),
+                target: start.target.clone(),
+                epoch,
+                newer: seen.target.to_owned(),
+                newer_epoch: seen.epoch,
+                late_us: start.at_us - seen.since_us,
+            });
+        }
+        if epoch > seen.epoch {
+            *seen = Newest {
+                epoch,
+                target: &start.target,
+                since_us: start.at_us,
+            };
+        }
+    }
+}
+
+/// Counts the first starts of a key at a new target while a run of the old one had not ended.
+fn overlaps(events: &[Event], starts: &[&Event]) -> usize {
+    let mut ends: HashMap<(&str, u64, &str), u64> = HashMap::new();
+    for event in events.iter().filter(|e| e.step != Step::Start) {
+        ends.insert((&event.target, event.run, &event.id), event.at_us);
+    }
+    let end = |e: &Event| {
+        ends.get(&(e.target.as_str(), e.run, e.id.as_str()))
+            .copied()
+    };
+    let mut last: HashMap<&str, (&str, u64)> = HashMap::new();
+    let mut count = 0;
+    for start in starts.iter().filter(|e| e.shard.is_some()) {
+        let until = end(start).unwrap_or(start.at_us);
+        let seen = last.entry(&start.key).or_insert((&start.target, until));
+        if seen.0 != start.target {
+            count += usize::from(seen.1 > start.at_us);
+            *seen = (&start.target, until);
+        }
+        seen.1 = seen.1.max(until);
+    }
+    count
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! tell them from the real services. Records of callers and targets are JSON lines; [`records`]
 //! compares them after a run.
 
+pub mod check;
 pub mod http1;
 pub mod load;
 pub mod payload;
--- /dev/null
+++ b/crates/bench/tests/check.rs
@@ -0,0 +1,126 @@
+//! The comparison of records: each kind of violation is found, and clean records have none.
+
+use googletest::prelude::*;
+use masticdeal_bench::check::{Violation, check};
+use masticdeal_bench::records::{Event, Outcome, Seen, Step};
+use masticdeal_policy::Verdict;
+
+fn event(at_us: u64, step: Step, target: &str, id: &str, epoch: u32) -> Event {
+    Event {
+        at_us,
+        step,
+        target: target.into(),
+        run: 0,
+        id: id.into(),
+        key: "search/1".into(),
+        shard: Some(3),
+        epoch: Some(epoch),
+        checked: false,
+    }
+}
+
+fn run(at_us: u64, target: &str, id: &str, epoch: u32) -> [Event; 2] {
+    let start = event(at_us, Step::Start, target, id, epoch);
+    let finished = event(at_us + 10, Step::Finished, target, id, epoch);
+    [start, finished]
+}
+
+fn outcome(id: &str, seen: Seen, verdict: Option<Verdict>) -> Outcome {
+    Outcome {
+        id: id.into(),
+        key: "search/1".into(),
+        idempotent: false,
+        long: false,
+        due_us: 0,
+        took_us: 20,
+        seen,
+        verdict,
+        reason: None,
+        target: Some("a".into()),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    events: Vec<Event>,
+    outcomes: Vec<Outcome>,
+    finds: fn(&Violation) -> bool,
+}
+
+/// Guards against a check that cannot fail.
+#[gtest]
+fn each_kind_of_violation_is_found() {
+    let answered = || outcome("x", Seen::Answered, None);
+    let cases = [
+        Case {
+            name: "one epoch at two targets",
+            events: [run(0, "a", "x", 1), run(50, "b", "y", 1)].concat(),
+            outcomes: vec![],
+            finds: |v| matches!(v, Violation::TwoOwners { epoch: 1, .. }),
+        },
+        Case {
+            name: "older epoch after a newer one",
+            events: [run(0, "b", "x", 2), run(50, "a", "y", 1)].concat(),
+            outcomes: vec![],
+            finds: |v| matches!(v, Violation::EpochWentBack { late_us: 50, .. }),
+        },
+        Case {
+            name: "registration run twice",
+            events: [run(0, "a", "x", 1), run(50, "a", "x", 1)].concat(),
+            outcomes: vec![answered()],
+            finds: |v| matches!(v, Violation::Doubled { starts: 2, .. }),
+        },
+        Case {
+            name: "answered without an end",
+            events: vec![event(0, Step::Start, "a", "x", 1)],
+            outcomes: vec![answered()],
+            finds: |v| matches!(v, Violation::Lost { .. }),
+        },
+        Case {
+            name: "answered by a target that did not run it",
+            events: run(0, "b", "x", 1).to_vec(),
+            outcomes: vec![answered()],
+            finds: |v| matches!(v, Violation::Lost { .. }),
+        },
+        Case {
+            name: "not run that ran",
+            events: vec![event(0, Step::Start, "a", "x", 1)],
+            outcomes: vec![outcome("x", Seen::Failed, Some(Verdict::NotRun))],
+            finds: |v| matches!(v, Violation::NotRunRan { .. }),
+        },
+        Case {
+            name: "wrong answer",
+            events: run(0, "a", "x", 1).to_vec(),
+            outcomes: vec![outcome("x", Seen::Wrong, None)],
+            finds: |v| matches!(v, Violation::WrongAnswer { .. }),
+        },
+    ];
+    for case in cases {
+        let report = check(&case.events, &case.outcomes);
+        expect_that!(report.violations.len(), eq(1), "{}", case.name);
+        expect_that!(report.count(case.finds), eq(1), "{}", case.name);
+    }
+}
+
+/// Guards against false alarms: moves between targets, honest verdicts and running work.
+#[gtest]
+fn clean_records_have_no_violation() {
+    let mut events = [
+        run(0, "a", "x", 1),
+        run(5, "b", "y", 2),
+        run(90, "a", "z", 3),
+    ]
+    .concat();
+    events.push(event(200, Step::Start, "a", "cut", 3));
+    let outcomes = [
+        outcome("x", Seen::Answered, None),
+        outcome("none", Seen::Failed, Some(Verdict::NotRun)),
+        outcome("cut", Seen::Failed, Some(Verdict::MayHaveRun)),
+    ];
+    let report = check(&events, &outcomes);
+    assert_that!(report.violations, eq(&vec![]));
+    assert_that!(
+        (report.sent, report.answered, report.overlaps),
+        eq((3, 1, 1))
+    );
+}
