--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,16 @@
 //!
 //! - [`clock`]: the boot-time clock, passed in as an interface.
 //! - [`node`]: state that all parts share.
+//! - [`exchange`]: one request and its outcome.
+//! - [`peers`]: h2 between daemons.
+//! - [`ingress`]: the callers' port.
+//! - [`owner`]: queue in front of the target, the target's client, the announce port.
+//! - [`telemetry`]: logs, metrics, traces.
 
 pub mod clock;
+pub mod exchange;
+pub mod ingress;
 pub mod node;
+pub mod owner;
+pub mod peers;
+pub mod telemetry;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,8 +13,10 @@
 use masticdeal_wire::peer::{Reason, Versions};
 use masticdeal_wire::target::Announce;
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::telemetry::Metrics;
 
 /// Decides whether this daemon may serve a shard, or a single key of it, at this moment.
 ///
@@ -42,6 +44,12 @@
     pub draining: watch::Sender<bool>,
     /// Ownership decision of the control plane.
     pub may_serve: MayServe,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Requests in progress at this daemon, up to the last byte of their answers.
+    pub in_progress: TaskTracker,
+    /// Set when nothing is in progress any more and the peers' port closes its connections.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Node {
@@ -57,6 +65,9 @@
             reported: watch::Sender::new(Versions::default()),
             draining: watch::Sender::new(false),
             may_serve,
+            metrics: Metrics::new(),
+            in_progress: TaskTracker::new(),
+            closing: watch::Sender::new(false),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/owner/gate.rs
@@ -0,0 +1,98 @@
+//! A last check directly before the first byte of a request is written to the target.
+//!
+//! The HTTP library writes from a task of its own, some time after it was given the request. The
+//! check therefore sits in the stream below it: when it refuses, nothing of the request has been
+//! written, and the request provably did not run.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+type Check = Box<dyn FnOnce() -> bool + Send>;
+
+/// Holds the check of the next write.
+#[derive(Default)]
+pub struct Gate {
+    check: Mutex<Option<Check>>,
+    refused: AtomicBool,
+}
+
+impl Gate {
+    /// Sets the check for the next write. It returns whether the write may happen.
+    pub fn arm(&self, check: impl FnOnce() -> bool + Send + 'static) {
+        *self.check.lock().unwrap_or_else(|e| e.into_inner()) = Some(Box::new(check));
+    }
+
+    /// Returns whether a check refused its write.
+    pub fn has_refused(&self) -> bool {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    fn pass(&self) -> io::Result<()> {
+        let check = self.check.lock().unwrap_or_else(|e| e.into_inner()).take();
+        if check.is_none_or(|check| check()) {
+            return Ok(());
+        }
+        self.refused.store(true, Ordering::Release);
+        Err(io::Error::new(io::ErrorKind::PermissionDenied, "the request may no longer be served"))
+    }
+}
+
+/// A stream whose writes pass a [`Gate`].
+pub struct Gated<S> {
+    inner: S,
+    gate: Arc<Gate>,
+}
+
+impl<S> Gated<S> {
+    /// Puts the gate in front of the writes of `inner`.
+    pub fn new(inner: S, gate: Arc<Gate>) -> Self {
+        Self { inner, gate }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Gated<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Gated<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.pass()?;
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.gate.pass()?;
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner/grant.rs
@@ -0,0 +1,93 @@
+//! Grants to the target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use displaydoc::Display;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use masticdeal_wire::{headers, target::Grant};
+use tokio::sync::Mutex;
+
+use super::Owner;
+use super::target::Connection;
+use crate::exchange::{Body, full};
+
+/// Why a grant is not known to be in force.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// there is no target
+    NoTarget,
+    /// the target holds a newer grant
+    Stale,
+    /// the target refused the grant with status {0}
+    Refused(u16),
+    /// no answer of the target in time; the grant may be in force
+    Timeout,
+    /// the connection to the target failed; the grant may be in force: {0}
+    Connection(String),
+}
+
+impl std::error::Error for Error {}
+
+/// The connection for grants. It is separate from those of requests, so that no long answer delays
+/// a grant.
+#[derive(Default)]
+pub struct Grants {
+    connection: Mutex<Option<(SocketAddr, Connection)>>,
+}
+
+impl Owner {
+    /// Sends a grant to the target and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Timeout`] and [`Error::Connection`] leave open whether the grant is in force; the
+    /// next grant with a higher sequence settles it.
+    pub async fn send_grant(&self, grant: &Grant, timeout: Duration) -> Result<(), Error> {
+        let address = self.node.target.borrow().as_ref().map(|t| t.address);
+        let address = address.ok_or(Error::NoTarget)?;
+        let sent = tokio::time::timeout(timeout, self.put(address, grant)).await;
+        sent.unwrap_or(Err(Error::Timeout))
+    }
+
+    async fn put(&self, address: SocketAddr, grant: &Grant) -> Result<(), Error> {
+        // The connection is out of its place while it is used: a call that is dropped at its
+        // timeout closes it.
+        let mut place = self.grants.connection.lock().await;
+        let kept = place.take().filter(|(to, c)| *to == address && c.send.is_ready());
+        let mut connection = match kept {
+            Some((_, connection)) => connection,
+            None => Connection::open(&self.node, address)
+                .await
+                .map_err(|e| Error::Connection(e.to_string()))?,
+        };
+        let response = connection.send.send_request(request(address, grant)).await;
+        let response = response.map_err(|e| Error::Connection(e.to_string()))?;
+        let status = response.status();
+        let body = http_body_util::Limited::new(response.into_body(), 4 << 10);
+        if body.collect().await.is_ok() {
+            *place = Some((address, connection));
+        }
+        match status {
+            StatusCode::CONFLICT => Err(Error::Stale),
+            status if status.is_success() => Ok(()),
+            status => Err(Error::Refused(status.as_u16())),
+        }
+    }
+}
+
+fn request(address: SocketAddr, grant: &Grant) -> Request<Body> {
+    // A grant of integers always serialises.
+    let body = serde_json::to_vec(grant).unwrap_or_default();
+    let mut request = Request::new(full(body));
+    *request.method_mut() = Method::PUT;
+    *request.uri_mut() = http::Uri::from_static(headers::PATH_GRANT);
+    let map = request.headers_mut();
+    map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        map.insert(HOST, host);
+    }
+    request
+}
--- /dev/null
+++ b/crates/daemon/src/owner/mod.rs
@@ -0,0 +1,128 @@
+//! The owner's side: admission in front of the target, and the target's client.
+//!
+//! Invariants: a request reaches the target only while this daemon may serve its shard, checked on
+//! arrival, after the queue, and directly before the first byte is written; at most as many
+//! requests run as the target has slots; every failure carries a verdict.
+
+mod admission;
+mod announce;
+mod answer;
+mod gate;
+mod grant;
+mod run;
+mod shards;
+mod target;
+
+use std::sync::Arc;
+
+use masticdeal_ownership::ids::{ServiceId, ShardId};
+use masticdeal_wire::peer::{LoadHint, Reason};
+use masticdeal_wire::target::{AnnouncedState, Announce};
+use futures_util::FutureExt;
+
+pub use announce::serve as serve_announce;
+pub use grant::Error as GrantError;
+
+use crate::exchange::{Failure, Outcome, Request};
+use crate::node::Node;
+use crate::peers::server::Forwarded;
+use crate::telemetry::metrics::ByReason;
+use admission::Admission;
+use grant::Grants;
+use run::Health;
+use shards::Shards;
+use target::Pool;
+
+/// The owner's side of one daemon.
+pub struct Owner {
+    node: Arc<Node>,
+    admission: Arc<Admission>,
+    shards: Arc<Shards>,
+    pool: Arc<Pool>,
+    health: Health,
+    grants: Grants,
+}
+
+impl Owner {
+    /// Makes the owner's side and follows the announcements of the target.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        let admission = Admission::new(Arc::clone(&node));
+        tokio::spawn(follow(Arc::clone(&node), Arc::clone(&admission)));
+        Arc::new(Self {
+            node,
+            admission,
+            shards: Arc::default(),
+            pool: Arc::default(),
+            health: Health::default(),
+            grants: Grants::default(),
+        })
+    }
+
+    /// Runs a request at the target beside this daemon. Dropping the future, or the body of the
+    /// answer, cancels the request.
+    pub async fn handle(&self, request: Request) -> Outcome {
+        match self.run(request).await {
+            Ok(answer) => Outcome::Answer(answer),
+            Err(failure) => {
+                let reason = ByReason { reason: failure.reason.as_str() };
+                self.node.metrics.refusals.get_or_create(&reason).inc();
+                let (versions, load) = (self.node.versions(), self.load());
+                Outcome::Failed(Failure { versions, load, ..failure })
+            }
+        }
+    }
+
+    /// Returns the handler of `/forward` for [`crate::peers::Handlers`].
+    pub fn forwarded(self: &Arc<Self>) -> Forwarded {
+        let owner = Arc::clone(self);
+        Box::new(move |request| {
+            let owner = Arc::clone(&owner);
+            async move { owner.handle(request).await }.boxed()
+        })
+    }
+
+    /// Resolves when no request of the shard runs or waits here. A planned move awaits it after
+    /// [`Node::may_serve`] began to refuse the shard.
+    pub async fn drained(&self, service: ServiceId, shard: ShardId) {
+        self.shards.drained(service, shard).await;
+    }
+
+    /// Returns the load of the target, as this daemon counts it.
+    pub fn load(&self) -> LoadHint {
+        self.admission.load()
+    }
+
+    /// Returns the measured capacity in requests per second: slots over smoothed service time. 0
+    /// while nothing is measured.
+    pub fn service_rate(&self) -> f64 {
+        self.admission.service_rate()
+    }
+
+    /// Returns the target when it takes work for this service.
+    fn ready_target(&self, service: ServiceId) -> Result<Announce, Failure> {
+        let target = self.node.target.borrow().clone();
+        let target = target.filter(|t| t.state == AnnouncedState::Ready);
+        let target = target.ok_or(Failure::not_run(Reason::TargetAway))?;
+        let known = self.node.table.borrow().service_id(&target.service);
+        if known != Some(service) {
+            return Err(Failure::not_run(Reason::TargetAway));
+        }
+        Ok(target)
+    }
+}
+
+/// Passes the target's slots on to the admission. A target that is away or draining has none, which
+/// refuses everything that waits.
+async fn follow(node: Arc<Node>, admission: Arc<Admission>) {
+    let mut target = node.target.subscribe();
+    loop {
+        let slots = target.borrow_and_update().as_ref().map_or(0, |t| match t.state {
+            AnnouncedState::Ready => usize::from(t.slots),
+            AnnouncedState::Starting | AnnouncedState::Draining => 0,
+        });
+        admission.set_slots(slots);
+        if target.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/owner/run.rs
@@ -0,0 +1,303 @@
+//! One request at the target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use masticdeal_ownership::ids::{Epoch, ServiceId, ShardId};
+use masticdeal_policy::Verdict;
+use masticdeal_wire::headers;
+use masticdeal_wire::peer::{Forward, Reason};
+use tokio::time::timeout;
+
+use super::Owner;
+use super::admission::Slot;
+use super::answer::{Running, TargetBody};
+use super::shards::Entered;
+use super::target::Connection;
+use crate::exchange::{Answer, Body, Failure, Request, end_to_end, to_header_map, to_wire_ms};
+use crate::node::Node;
+use crate::telemetry::traces::Hop;
+
+/// Wait after which a request without any byte of an answer speaks against the target. Callers
+/// choose their deadlines, and a short one says nothing about the target.
+const SILENT_AFTER: Duration = Duration::from_millis(250);
+
+/// Silent requests in a row after which the target is treated as away.
+const SILENT_LIMIT: u32 = 3;
+
+/// Requests in a row that got no byte of an answer.
+#[derive(Debug, Default)]
+pub struct Health {
+    silent: AtomicU32,
+}
+
+impl Health {
+    fn answered(&self) {
+        self.silent.store(0, Ordering::Release);
+    }
+
+    /// Counts a silent request. Returns whether the target is to be treated as away; the next
+    /// silent request after that is enough again.
+    fn count_silent(&self) -> bool {
+        self.silent.fetch_add(1, Ordering::AcqRel) + 1 >= SILENT_LIMIT
+    }
+}
+
+/// The right to serve one request, which can be lost at any time.
+#[derive(Clone)]
+struct Right {
+    node: Arc<Node>,
+    service: ServiceId,
+    key: Option<(ShardId, u64)>,
+}
+
+impl Right {
+    fn epoch(&self) -> Result<Option<Epoch>, Failure> {
+        let Some((shard, key_hash)) = self.key else { return Ok(None) };
+        let epoch = (self.node.may_serve)(self.service, shard, key_hash);
+        epoch.map(Some).map_err(Failure::not_run)
+    }
+}
+
+impl Owner {
+    pub(super) async fn run(&self, request: Request) -> Result<Answer, Failure> {
+        let Request { head, body, deadline } = request;
+        let hop = Hop::start("owner", &head.traceparent);
+        let key = head.shard.zip(head.key_hash);
+        let right = Right { node: Arc::clone(&self.node), service: head.service, key };
+        // Counted before the first check, so that a move that waits for the shard sees every
+        // request that passed the check.
+        let shard = head.shard.map(|shard| self.shards.enter(head.service, shard));
+        let slot = self.admit(&head, &right, deadline).await?;
+        let target = self.ready_target(head.service)?;
+        let epoch = right.epoch()?;
+        let request = build(&head, body, epoch, &target.address, &hop)?;
+        let job = Job { owner: self, right, epoch, address: target.address, deadline };
+        job.run(request, slot, shard).await
+    }
+
+    async fn admit(
+        &self,
+        head: &Forward,
+        right: &Right,
+        deadline: Duration,
+    ) -> Result<Slot, Failure> {
+        if *self.node.draining.borrow() {
+            return Err(Failure::not_run(Reason::ShuttingDown));
+        }
+        if self.node.clock.now() >= deadline {
+            return Err(Failure::not_run(Reason::Deadline));
+        }
+        right.epoch()?;
+        self.ready_target(head.service)?;
+        let queue_length = self.queue_length(head.service);
+        self.admission.admit(queue_length, deadline).await
+    }
+
+    fn queue_length(&self, service: ServiceId) -> usize {
+        let limit = self.node.settings.limits.queue_length;
+        let table = self.node.table.borrow();
+        let deployment = self.node.deployment.borrow();
+        let name = table.service(service).map(|s| s.name.as_str());
+        let declared = deployment.1.services.iter().find(|s| Some(s.name.as_str()) == name);
+        declared.map_or(limit, |s| s.queue_length.min(limit))
+    }
+}
+
+/// A request that has a slot.
+struct Job<'a> {
+    owner: &'a Owner,
+    right: Right,
+    epoch: Option<Epoch>,
+    address: SocketAddr,
+    deadline: Duration,
+}
+
+impl Job<'_> {
+    async fn run(
+        &self,
+        mut request: http::Request<Body>,
+        slot: Slot,
+        shard: Option<Entered>,
+    ) -> Result<Answer, Failure> {
+        let node = &self.owner.node;
+        loop {
+            let now = node.clock.now();
+            let reused = self.owner.pool.take(self.address, now);
+            let is_reused = reused.is_some();
+            let mut connection = match reused {
+                Some(connection) => connection,
+                None => self.connect().await?,
+            };
+            self.check()?;
+            let remaining = self.deadline.saturating_sub(node.clock.now());
+            set_deadline(request.headers_mut(), remaining);
+            self.arm(&connection);
+            let (read, written) = (connection.counts.read(), connection.counts.written());
+            let sent = timeout(remaining, connection.send.try_send_request(request)).await;
+            let Ok(sent) = sent else {
+                return Err(self.silent(&connection, read, remaining));
+            };
+            let failed = match sent {
+                Ok(response) => {
+                    self.owner.health.answered();
+                    let pool = Arc::clone(&self.owner.pool);
+                    let node = Arc::clone(node);
+                    let running = Running { node, pool, connection, slot, shard };
+                    return self.answer(response, running);
+                }
+                Err(failed) => failed,
+            };
+            if connection.gate.has_refused() {
+                return Err(self.check().err().unwrap_or(Failure::not_run(Reason::Deadline)));
+            }
+            let unwritten = connection.counts.written() == written;
+            let mut failed = failed;
+            request = match failed.take_message() {
+                // The target closed an idle connection; the request is whole.
+                Some(request) if unwritten && is_reused => request,
+                _ if unwritten => return Err(Failure::not_run(Reason::TargetFailed)),
+                _ => return Err(Failure::may_have_run(Reason::TargetFailed)),
+            };
+        }
+    }
+
+    async fn connect(&self) -> Result<Connection, Failure> {
+        let remaining = self.deadline.saturating_sub(self.owner.node.clock.now());
+        let opened = timeout(remaining, Connection::open(&self.owner.node, self.address)).await;
+        let opened = opened.map_err(|_| Failure::not_run(Reason::Deadline))?;
+        opened.map_err(|e| {
+            log::warn!(target:% = self.address; "Cannot connect to the target: {e}");
+            self.owner.set_away(self.address);
+            Failure::not_run(Reason::TargetFailed)
+        })
+    }
+
+    /// Checks the right and the deadline after an await.
+    fn check(&self) -> Result<(), Failure> {
+        if self.right.epoch()? != self.epoch {
+            return Err(Failure::not_run(Reason::Moving));
+        }
+        if self.owner.node.clock.now() >= self.deadline {
+            return Err(Failure::not_run(Reason::Deadline));
+        }
+        Ok(())
+    }
+
+    fn arm(&self, connection: &Connection) {
+        let (right, epoch) = (self.right.clone(), self.epoch);
+        connection.gate.arm(move || right.epoch() == Ok(epoch));
+    }
+
+    fn silent(&self, connection: &Connection, read: u64, waited: Duration) -> Failure {
+        let silent = connection.counts.read() == read && waited >= SILENT_AFTER;
+        if silent && self.owner.health.count_silent() {
+            log::warn!(target:% = self.address; "The target is silent");
+            self.owner.set_away(self.address);
+        }
+        Failure::may_have_run(Reason::Deadline)
+    }
+
+    fn answer(
+        &self,
+        response: http::Response<Incoming>,
+        running: Running,
+    ) -> Result<Answer, Failure> {
+        if let Some(failure) = refusal(&response) {
+            running.complete_refused();
+            return Err(failure);
+        }
+        if !ends_visibly(&response) {
+            return Err(Failure::new(Verdict::Ran, Reason::TargetFailed));
+        }
+        let status = response.status().as_u16();
+        let headers = end_to_end(response.headers());
+        let headers = headers.into_iter().filter(|(name, _)| !is_internal(name)).collect();
+        let body = TargetBody::new(response.into_body(), running).boxed_unsync();
+        Ok(Answer { status, headers, body, load: self.owner.load() })
+    }
+}
+
+impl Running {
+    /// Ends a request that the target refused; its time says nothing about the target's work.
+    fn complete_refused(self) {
+        drop(self);
+    }
+}
+
+impl Owner {
+    /// Treats the target as away until its next announcement.
+    fn set_away(&self, address: SocketAddr) {
+        self.node.target.send_if_modified(|target| {
+            let same = target.as_ref().is_some_and(|t| t.address == address);
+            if same {
+                *target = None;
+            }
+            same
+        });
+    }
+}
+
+/// Returns the failure when the target itself says that it did not run the request.
+fn refusal(response: &http::Response<Incoming>) -> Option<Failure> {
+    let status = response.status();
+    let refused = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::PRECONDITION_FAILED];
+    let verdict = response.headers().get(headers::VERDICT)?.to_str().ok()?;
+    if !refused.contains(&status) || Verdict::parse(verdict) != Some(Verdict::NotRun) {
+        return None;
+    }
+    let retry_after = response.headers().get(http::header::RETRY_AFTER);
+    let seconds = retry_after.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+    let retry_after = seconds.map(Duration::from_secs);
+    Some(Failure { retry_after, ..Failure::not_run(Reason::TargetRefused) })
+}
+
+/// Returns whether a cut answer can be told from a whole one. An answer that ends with the
+/// connection cannot.
+fn ends_visibly(response: &http::Response<Incoming>) -> bool {
+    let headers = response.headers();
+    http_body::Body::is_end_stream(response.body())
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn is_internal(name: &str) -> bool {
+    name.starts_with(headers::PREFIX)
+}
+
+fn build(
+    head: &Forward,
+    body: Body,
+    epoch: Option<Epoch>,
+    address: &SocketAddr,
+    hop: &Hop,
+) -> Result<http::Request<Body>, Failure> {
+    let malformed = || Failure::not_run(Reason::Malformed);
+    let mut request = http::Request::new(body);
+    *request.method_mut() =
+        Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
+    *request.uri_mut() = Uri::try_from(head.path.as_str()).map_err(|_| malformed())?;
+    let mut map = to_header_map(&head.headers).map_err(|_| malformed())?;
+    let text = |text: &str| HeaderValue::try_from(text).map_err(|_| malformed());
+    if !map.contains_key(HOST) {
+        map.insert(HOST, text(&address.to_string())?);
+    }
+    map.insert(headers::REQUEST_ID, text(&head.request_id)?);
+    map.insert(headers::TRACEPARENT, text(&hop.traceparent())?);
+    if let (Some(shard), Some(epoch)) = (head.shard, epoch) {
+        map.insert(headers::SHARD, HeaderValue::from(shard.0));
+        map.insert(headers::EPOCH, HeaderValue::from(epoch.0));
+    }
+    *request.headers_mut() = map;
+    Ok(request)
+}
+
+fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
+    headers.insert(headers::DEADLINE_MS, HeaderValue::from(to_wire_ms(remaining)));
+}
--- /dev/null
+++ b/crates/daemon/src/peers/io.rs
@@ -0,0 +1,118 @@
+//! A TCP stream that counts its bytes.
+//!
+//! The counts have three uses: a request is provably unwritten when the connection has written
+//! nothing since the request was handed to it, a connection is silent when it has read nothing, and
+//! the bytes of control connections are a metric.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::OnceLock;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use prometheus_client::metrics::counter::Counter;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes of one connection.
+#[derive(Debug, Default)]
+pub struct Counts {
+    read: AtomicU64,
+    written: AtomicU64,
+    sinks: OnceLock<(Counter, Counter)>,
+}
+
+impl Counts {
+    /// Returns the bytes read.
+    pub fn read(&self) -> u64 {
+        self.read.load(Ordering::Acquire)
+    }
+
+    /// Returns the bytes written.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Acquire)
+    }
+
+    /// Adds the bytes so far, and all later ones, to these counters.
+    pub fn feed(&self, read: &Counter, written: &Counter) {
+        if self.sinks.set((read.clone(), written.clone())).is_ok() {
+            read.inc_by(self.read());
+            written.inc_by(self.written());
+        }
+    }
+
+    fn add_read(&self, bytes: usize) {
+        self.read.fetch_add(bytes as u64, Ordering::AcqRel);
+        if let Some((read, _)) = self.sinks.get() {
+            read.inc_by(bytes as u64);
+        }
+    }
+
+    fn add_written(&self, bytes: usize) {
+        self.written.fetch_add(bytes as u64, Ordering::AcqRel);
+        if let Some((_, written)) = self.sinks.get() {
+            written.inc_by(bytes as u64);
+        }
+    }
+}
+
+/// A stream with its counts.
+#[derive(Debug)]
+pub struct Counted<S> {
+    inner: S,
+    counts: Arc<Counts>,
+}
+
+impl<S> Counted<S> {
+    /// Counts the bytes of `inner` from now on.
+    pub fn new(inner: S, counts: Arc<Counts>) -> Self {
+        Self { inner, counts }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        self.counts.add_read(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.counts.add_written(bytes);
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))?;
+        self.counts.add_written(bytes);
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/stream.rs
@@ -0,0 +1,192 @@
+//! Bodies over h2 streams, and the message that precedes them.
+
+use std::any::Any;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use h2::{RecvStream, SendStream};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use masticdeal_wire::codec;
+use serde::de::DeserializeOwned;
+
+use crate::exchange::{Body, BodyError};
+
+/// Why a message or a body did not pass.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// the stream failed: {0}
+    Stream(h2::Error),
+    /// the stream ended inside the message
+    Truncated,
+    /// bad message: {0}
+    Codec(codec::Error),
+    /// the body failed: {0}
+    Body(BodyError),
+}
+
+impl std::error::Error for Error {}
+
+impl From<h2::Error> for Error {
+    fn from(e: h2::Error) -> Self {
+        Self::Stream(e)
+    }
+}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Reads the message at the front of a stream, and what was read beyond it.
+///
+/// # Errors
+///
+/// [`Error::Codec`] for a message that is too long or malformed; [`Error::Truncated`] when the
+/// stream ends inside it; [`Error::Stream`] when the stream fails.
+pub async fn read_message<M: DeserializeOwned>(stream: &mut RecvStream) -> Result<(M, Bytes)> {
+    let mut buf = BytesMut::new();
+    loop {
+        if let Some(message) = codec::decode(&mut buf).map_err(Error::Codec)? {
+            return Ok((message, buf.freeze()));
+        }
+        let data = next_data(stream).await?.ok_or(Error::Truncated)?;
+        buf.extend_from_slice(&data);
+    }
+}
+
+/// Reads a stream to its end.
+///
+/// # Errors
+///
+/// [`Error::Codec`] beyond the limit of one frame; [`Error::Stream`] when the stream fails.
+pub async fn read_frame(stream: &mut RecvStream) -> Result<Bytes> {
+    let mut buf = BytesMut::new();
+    while let Some(data) = next_data(stream).await? {
+        buf.extend_from_slice(&data);
+        if buf.len() > codec::PREFIX_BYTES + codec::MAX_FRAME_BYTES {
+            return Err(Error::Codec(codec::Error::TooLong(buf.len())));
+        }
+    }
+    Ok(buf.freeze())
+}
+
+async fn next_data(stream: &mut RecvStream) -> Result<Option<Bytes>> {
+    let Some(data) = stream.data().await else { return Ok(None) };
+    let data = data?;
+    stream.flow_control().release_capacity(data.len())?;
+    Ok(Some(data))
+}
+
+/// The rest of a stream as a body. Dropping it before its end resets the stream.
+pub struct StreamBody {
+    stream: RecvStream,
+    head: Bytes,
+    failure: BodyError,
+    _keep: Box<dyn Any + Send>,
+}
+
+impl StreamBody {
+    /// Makes a body of `head` and the rest of `stream`. A stream that fails yields `failure`;
+    /// `keep` is dropped with the body.
+    pub fn new(
+        stream: RecvStream,
+        head: Bytes,
+        failure: BodyError,
+        keep: impl Any + Send,
+    ) -> Body {
+        Self { stream, head, failure, _keep: Box::new(keep) }.boxed_unsync()
+    }
+
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match ready!(self.stream.poll_trailers(cx)) {
+            Ok(Some(trailers)) => Poll::Ready(Some(Ok(Frame::trailers(trailers)))),
+            Ok(None) => Poll::Ready(None),
+            Err(_) => Poll::Ready(Some(Err(self.failure))),
+        }
+    }
+}
+
+impl http_body::Body for StreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if !self.head.is_empty() {
+            let head = std::mem::take(&mut self.head);
+            return Poll::Ready(Some(Ok(Frame::data(head))));
+        }
+        let data = match ready!(self.stream.poll_data(cx)) {
+            Some(Ok(data)) => data,
+            Some(Err(_)) => return Poll::Ready(Some(Err(self.failure))),
+            None => return self.poll_end(cx),
+        };
+        // The capacity goes back when the reader asks for the next frame at the latest, since it
+        // has taken this one.
+        if self.stream.flow_control().release_capacity(data.len()).is_err() {
+            return Poll::Ready(Some(Err(self.failure)));
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.head.is_empty() && self.stream.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.stream.is_end_stream() {
+            true => SizeHint::with_exact(self.head.len() as u64),
+            false => SizeHint::default(),
+        }
+    }
+}
+
+/// Sends a body to its end, at the speed of the receiver.
+///
+/// # Errors
+///
+/// [`Error::Body`] when the body fails; the stream is then left open for the caller to reset.
+/// [`Error::Stream`] when the receiver resets the stream or the connection fails.
+pub async fn send_body(mut body: Body, stream: &mut SendStream<Bytes>) -> Result<()> {
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            reset = poll_fn(|cx| stream.poll_reset(cx)) => return Err(Error::Stream(reset?.into())),
+        };
+        let Some(frame) = frame else {
+            stream.send_data(Bytes::new(), true)?;
+            return Ok(());
+        };
+        match frame.map_err(Error::Body)?.into_data() {
+            Ok(data) => {
+                let end = http_body::Body::is_end_stream(&body);
+                send_data(data, end, stream).await?;
+                if end {
+                    return Ok(());
+                }
+            }
+            Err(frame) => {
+                let trailers = frame.into_trailers().unwrap_or_default();
+                stream.send_trailers(trailers)?;
+                return Ok(());
+            }
+        }
+    }
+}
+
+async fn send_data(mut data: Bytes, end: bool, stream: &mut SendStream<Bytes>) -> Result<()> {
+    while !data.is_empty() {
+        stream.reserve_capacity(data.len());
+        // `poll_capacity` only reports an increase, so capacity that is left over comes first.
+        while stream.capacity() == 0 {
+            poll_fn(|cx| stream.poll_capacity(cx)).await.ok_or(Error::Truncated)??;
+        }
+        let part = data.split_to(stream.capacity().min(data.len()));
+        stream.send_data(part, end && data.is_empty())?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -0,0 +1,77 @@
+//! Log output: one JSON object per line.
+
+use std::fmt::Arguments;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use displaydoc::Display;
+use log::{LevelFilter, Record};
+use masticdeal_config::settings::Log;
+use serde_json::{Map, Value};
+
+/// Why logging cannot start.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// `{0}` is not a log level
+    Level(String),
+    /// a logger is already set
+    AlreadySet,
+}
+
+impl std::error::Error for Error {}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// [`Error::Level`] for a level that `log` does not know; [`Error::AlreadySet`] on a second call.
+pub fn init(settings: &Log) -> Result<()> {
+    dispatch(settings)?.chain(std::io::stderr()).apply().map_err(|_| Error::AlreadySet)
+}
+
+/// Returns the logger without an output, for [`init`] and for tests.
+///
+/// # Errors
+///
+/// As [`init`].
+pub fn dispatch(settings: &Log) -> Result<fern::Dispatch> {
+    let mut out = fern::Dispatch::new()
+        .format(|out, message, record| out.finish(format_args!("{}", line(message, record))))
+        .level(level(&settings.level)?);
+    for (module, text) in &settings.modules {
+        out = out.level_for(module.clone(), level(text)?);
+    }
+    Ok(out)
+}
+
+fn level(text: &str) -> Result<LevelFilter> {
+    text.parse().map_err(|_| Error::Level(text.to_owned()))
+}
+
+/// Renders one record with its key-value pairs. Unix time in milliseconds.
+fn line(message: &Arguments<'_>, record: &Record<'_>) -> Value {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut fields = Map::new();
+    fields.insert("time_ms".into(), (time.as_millis() as u64).into());
+    fields.insert("level".into(), record.level().as_str().into());
+    fields.insert("module".into(), record.target().into());
+    fields.insert("message".into(), message.to_string().into());
+    let _ = record.key_values().visit(&mut Pairs(&mut fields));
+    Value::Object(fields)
+}
+
+struct Pairs<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.entry(key.as_str()).or_insert(value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -0,0 +1,159 @@
+//! Metrics in the Prometheus text format.
+//!
+//! Every label set is bounded: services come from the configuration, all other labels from enums.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Buckets of time histograms, in seconds.
+const SECONDS: [f64; 14] = [
+    0.0001, 0.0003, 0.001, 0.002, 0.005, 0.009, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0, 60.0,
+];
+
+/// Labels of finished requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Finished {
+    /// Name from the configuration, or `none`.
+    pub service: String,
+    /// `answered`, `cut`, `cancelled`, or the verdict of a failure.
+    pub outcome: &'static str,
+}
+
+/// Label of refusals and failures.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByReason {
+    /// [`masticdeal_wire::peer::Reason::as_str`].
+    pub reason: &'static str,
+}
+
+/// Label of connections and platform calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByKind {
+    /// Kind, one of a fixed set.
+    pub kind: &'static str,
+}
+
+type Signed = Gauge<i64, std::sync::atomic::AtomicI64>;
+
+/// All metrics of a daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests of callers by service and outcome.
+    pub requests: Family<Finished, Counter>,
+    /// Failures towards callers by reason.
+    pub failures: Family<ByReason, Counter>,
+    /// Requests that the owner refused, by reason.
+    pub refusals: Family<ByReason, Counter>,
+    /// Time in the owner's queue.
+    pub queue_time: Histogram,
+    /// Time from the write to the target until the end of its answer.
+    pub service_time: Histogram,
+    /// Time from the write to the owner's daemon until the head of its reply.
+    pub hop_time: Histogram,
+    /// Further attempts of the ingress, by the reason of the failed attempt.
+    pub retries: Family<ByReason, Counter>,
+    /// Bytes read from control connections.
+    pub control_in: Counter<u64, AtomicU64>,
+    /// Bytes written to control connections.
+    pub control_out: Counter<u64, AtomicU64>,
+    /// Open connections by kind: `caller`, `peer-in`, `peer-out`, `target`.
+    pub connections: Family<ByKind, Signed>,
+    /// Connections retired because they went silent, by kind.
+    pub silent: Family<ByKind, Counter>,
+    /// Calls of the platform by kind; the control plane counts them.
+    pub platform_calls: Family<ByKind, Counter>,
+}
+
+impl Metrics {
+    /// Makes all metrics, at zero.
+    pub fn new() -> Self {
+        let time = || Histogram::new(SECONDS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("masticdeal"),
+            requests: Family::default(),
+            failures: Family::default(),
+            refusals: Family::default(),
+            queue_time: time(),
+            service_time: time(),
+            hop_time: time(),
+            retries: Family::default(),
+            control_in: Counter::default(),
+            control_out: Counter::default(),
+            connections: Family::default(),
+            silent: Family::default(),
+            platform_calls: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests of callers", self.requests.clone());
+        r.register("failures", "Failures towards callers", self.failures.clone());
+        r.register("refusals", "Refusals of the owner", self.refusals.clone());
+        r.register("retries", "Further attempts of the ingress", self.retries.clone());
+        r.register("connections", "Open connections", self.connections.clone());
+        r.register("silent_connections", "Connections retired as silent", self.silent.clone());
+        r.register("platform_calls", "Calls of the platform", self.platform_calls.clone());
+        let bytes = |r: &mut Registry, name: &str, help: &str, counter: &Counter| {
+            r.register_with_unit(name, help, Unit::Bytes, counter.clone());
+        };
+        bytes(r, "control_in", "Read from control connections", &self.control_in);
+        bytes(r, "control_out", "Written to control connections", &self.control_out);
+        let time = |r: &mut Registry, name: &str, help: &str, histogram: &Histogram| {
+            r.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        };
+        time(r, "queue_time", "Time in the owner's queue", &self.queue_time);
+        time(r, "service_time", "Time at the target", &self.service_time);
+        time(r, "hop_time", "Time at the owner's daemon", &self.hop_time);
+    }
+
+    /// Adds a metric of another part of the daemon.
+    pub fn registry(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
+    /// Renders all metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts a connection of this kind until the guard is dropped.
+    pub fn connection(&self, kind: &'static str) -> OpenConnection {
+        let gauge = self.connections.get_or_create(&ByKind { kind }).clone();
+        gauge.inc();
+        OpenConnection(gauge)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Keeps one connection counted.
+#[derive(Debug)]
+pub struct OpenConnection(Signed);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Records a time in a histogram of seconds.
+pub fn observe(histogram: &Histogram, time: Duration) {
+    histogram.observe(time.as_secs_f64());
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -0,0 +1,14 @@
+//! Logs, metrics and traces of the daemon.
+//!
+//! - [`logs`]: JSON lines on standard error, with levels per module.
+//! - [`metrics`]: counters and histograms with bounded label sets.
+//! - [`traces`]: one span per hop, carried by `traceparent`.
+//!
+//! Secrets never reach a log line: [`masticdeal_config::settings::Secret`] prints nothing, and
+//! headers are not logged.
+
+pub mod logs;
+pub mod metrics;
+pub mod traces;
+
+pub use metrics::Metrics;
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -1,5 +1,7 @@
 //! Names of HTTP headers and paths on all ports.
 
+/// Prefix of the project's own headers.
+pub const PREFIX: &str = "x-masticdeal-";
 /// Verdict on a failed request: `NotRun`, `MayHaveRun` or `Ran`.
 pub const VERDICT: &str = "x-masticdeal-verdict";
 /// Reason for a failure, one short word with dashes.
