--- /dev/null
+++ b/crates/config/src/edit.rs
@@ -0,0 +1,68 @@
+//! Changes one setting inside a configuration text and keeps the rest, comments included.
+
+use crate::deployment::Deployment;
+use crate::deployment_read::{RULE_KEYS, SERVICE_KEYS};
+use crate::fault::{Faults, Problem};
+use crate::reader::hint;
+use crate::text::{Section, split};
+
+/// Name under which the rules for all services are addressed.
+pub const RULES: &str = "rules";
+
+/// Returns the text with one setting changed, and what the new text means.
+///
+/// `scope` is the name of a service or [`RULES`]. A setting that the text does not give is added
+/// at the top of its section; a missing `[rules]` section is added at the end.
+///
+/// # Errors
+///
+/// Faults for an unknown service or key, a value of more than one line, and every fault that the
+/// new text has.
+pub fn set(text: &str, scope: &str, key: &str, value: &str) -> crate::Result<(String, Deployment)> {
+    let mut faults = Faults::new("");
+    let sections = split(text, &mut faults);
+    let (header, keys): (String, &[&str]) = match scope {
+        RULES => (RULES.into(), &RULE_KEYS),
+        service => (format!("service {service}"), &SERVICE_KEYS),
+    };
+    if !keys.contains(&key) {
+        let hint = hint(key, keys);
+        faults.push(0, &header, key, Problem::UnknownKey { hint });
+    }
+    if value.contains(['\n', '\r']) {
+        let message = "a value is one line".into();
+        faults.push(0, &header, key, Problem::Contradiction(message));
+    }
+    let section = sections.iter().find(|s| s.name == header);
+    if section.is_none() && scope != RULES {
+        let names: Vec<&str> = names(&sections).collect();
+        let hint = hint(scope, &names);
+        faults.push(0, &header, "", Problem::UnknownSection { hint });
+    }
+    faults.finish(())?;
+    let changed = replace_line(text, section, key, value);
+    let deployment = Deployment::parse(&changed)?;
+    Ok((changed, deployment))
+}
+
+fn names(sections: &[Section]) -> impl Iterator<Item = &str> {
+    let services = sections
+        .iter()
+        .filter_map(|s| s.name.strip_prefix("service "));
+    services.chain([RULES])
+}
+
+fn replace_line(text: &str, section: Option<&Section>, key: &str, value: &str) -> String {
+    let entry = format!("{key} = {value}");
+    let mut lines: Vec<&str> = text.lines().collect();
+    let header = format!("[{RULES}]");
+    match section {
+        None => lines.extend([header.as_str(), entry.as_str()]),
+        // Lines count from 1, so the line of the header is the index of the line after it.
+        Some(section) => match section.entries.iter().find(|e| e.key == key) {
+            Some(found) => lines[found.line - 1] = &entry,
+            None => lines.insert(section.line, &entry),
+        },
+    }
+    lines.join("\n") + "\n"
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod deployment;
 pub mod diff;
+pub mod edit;
 pub mod fault;
 pub mod settings;
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -13,6 +13,9 @@
 /// Longest name of a VM, region, data centre or service, in bytes.
 const MAX_NAME_BYTES: usize = 63;
 
+/// Most valid words that a fault lists.
+const MAX_HINTS: usize = 16;
+
 /// One section with the collector of its faults.
 pub(crate) struct Reader<'a, 'f> {
     section: &'a Section,
@@ -180,7 +183,10 @@
 
 /// Returns the valid words, and the nearest one first if there is one.
 pub(crate) fn hint(word: &str, valid: &[&str]) -> String {
-    let all = valid.join(", ");
+    let mut all = valid[..valid.len().min(MAX_HINTS)].join(", ");
+    if valid.len() > MAX_HINTS {
+        all.push_str(&format!(" and {} more", valid.len() - MAX_HINTS));
+    }
     match nearest(word, valid.iter().copied()) {
         Some(near) => format!("did you mean `{near}`? Valid: {all}"),
         None => format!("one of {all}"),
--- a/crates/config/tests/deployment.rs
+++ b/crates/config/tests/deployment.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use masticdeal_config::deployment::{Deployment, KeySource};
 use masticdeal_config::diff::{check_change, check_shards, diff};
+use masticdeal_config::edit;
 use proptest::prelude::*;
 
 const KOCAELI: &str = include_str!("../../../examples/kocaeli.ini");
@@ -145,6 +146,44 @@
     );
 }
 
+/// Guards against a `set` that loses the operators' comments or accepts what a file would not.
+#[gtest]
+fn one_setting_changes_in_place() {
+    let (text, deployment) = edit::set(KOCAELI, "search", "deadline_ms", "900").unwrap();
+    expect_that!(
+        text,
+        eq(&KOCAELI.replace("deadline_ms = 2000", "deadline_ms = 900"))
+    );
+    expect_that!(
+        deployment.service("search").unwrap().deadline.as_millis(),
+        eq(900)
+    );
+    let (text, deployment) = edit::set(KOCAELI, "documents", "retry_budget", "0.2").unwrap();
+    expect_that!(text, contains_substring("; Printable sheets"));
+    expect_that!(
+        deployment.service("documents").unwrap().retry_budget,
+        eq(0.2)
+    );
+    expect_that!(
+        edit::set("", "rules", "max_draining", "2")
+            .unwrap()
+            .1
+            .rules
+            .max_draining,
+        eq(2)
+    );
+    for (scope, key, value, says) in [
+        ("serch", "deadline_ms", "1", "did you mean `search`?"),
+        ("search", "deadline", "1", "did you mean `deadline_ms`?"),
+        ("search", "deadline_ms", "soon", "a number from 1"),
+        ("search", "deadline_ms", "1\n[service x]", "one line"),
+        ("rules", "deadline_ms", "1", "unknown key"),
+    ] {
+        let faults = edit::set(KOCAELI, scope, key, value).unwrap_err();
+        expect_that!(faults[0].to_string(), contains_substring(says));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
 
--- /dev/null
+++ b/crates/daemon/src/operators/journal.rs
@@ -0,0 +1,362 @@
+//! Bounded journal of decisions, from which "why" is answered.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use masticdeal_config::diff::Difference;
+use masticdeal_ownership::change::EndCause;
+use masticdeal_ownership::ids::{SessionId, ShardId};
+use masticdeal_wire::peer::Versions;
+use serde::Serialize;
+
+/// Memory of the journal of a daemon, in bytes, as [`Entry::cost`] counts it.
+pub const DEFAULT_BUDGET: usize = 1 << 20;
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// Unix time in milliseconds at which this daemon learned of the decision.
+    pub time_ms: u64,
+    /// Table version and configuration revision that hold the decision; for a refusal, those that
+    /// it was made on.
+    pub versions: Versions,
+    /// What was decided.
+    pub what: What,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// What was decided.
+#[derive(Debug, Display, Clone, PartialEq)]
+pub enum What {
+    /// {vm} joined as session {session}
+    Joined {
+        /// Its VM.
+        vm: Arc<str>,
+        /// The session.
+        session: SessionId,
+    },
+    /// {vm} was ended (session {session})
+    Ended {
+        /// Its VM.
+        vm: Arc<str>,
+        /// The session.
+        session: SessionId,
+    },
+    /// {vm} got {shards} of {service}
+    Assigned {
+        /// Name of the service.
+        service: Arc<str>,
+        /// The shards.
+        shards: ShardSet,
+        /// VM of the new owner.
+        vm: Arc<str>,
+        /// The new owner.
+        session: SessionId,
+    },
+    /// shard {shard} of {service} moved from {from} to {to}
+    Moved {
+        /// Name of the service.
+        service: Arc<str>,
+        /// The shard.
+        shard: ShardId,
+        /// VM of the former owner.
+        from: Arc<str>,
+        /// VM of the new owner.
+        to: Arc<str>,
+        /// The new owner.
+        session: SessionId,
+    },
+    /// {vm} got a hot key of {service} as an override
+    KeyGiven {
+        /// Name of the service.
+        service: Arc<str>,
+        /// xxh3 hash of the key.
+        key_hash: u64,
+        /// VM of the new owner.
+        vm: Arc<str>,
+        /// The new owner.
+        session: SessionId,
+    },
+    /// a hot key of {service} returned to its shard
+    KeyReturned {
+        /// Name of the service.
+        service: Arc<str>,
+        /// xxh3 hash of the key.
+        key_hash: u64,
+    },
+    /// the target of {vm} became {state}
+    TargetChanged {
+        /// Its VM.
+        vm: Arc<str>,
+        /// The state.
+        state: TargetWord,
+    },
+    /// {vm} changed its lessors
+    LessorsChanged {
+        /// VM of the lessee.
+        vm: Arc<str>,
+    },
+    /// service {service} was declared
+    Declared {
+        /// Name of the service.
+        service: Arc<str>,
+    },
+    /// configuration revision {revision} was accepted
+    Configured {
+        /// The revision.
+        revision: u64,
+        /// What changed, when the revision before is known.
+        differences: Vec<Difference>,
+    },
+    /// the command `{command}` was refused
+    Refused {
+        /// The command as text.
+        command: String,
+    },
+}
+
+/// State of a target in words.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetWord {
+    /// ready
+    Ready,
+    /// draining
+    Draining,
+    /// away
+    Away,
+    /// absent
+    Absent,
+}
+
+/// Why something was decided. The text follows the word "because".
+#[derive(Debug, Display, Clone, PartialEq)]
+pub enum Cause {
+    /// nobody owned it at that moment
+    FirstOwner,
+    /// {vm} was ended: {end}
+    OwnerEnded {
+        /// VM of the former owner.
+        vm: Arc<str>,
+        /// Why it was ended.
+        end: EndWord,
+    },
+    /// the target of {vm} is draining or away
+    TargetLeaves {
+        /// Its VM.
+        vm: Arc<str>,
+    },
+    /// {0}
+    Session(EndWord),
+    /// the planner evened out the load
+    Balance,
+    /// the key is hot
+    HotKey,
+    /// {author} asked for it
+    Operator {
+        /// The operator as the tool named it.
+        author: String,
+    },
+    /// the target announced it
+    Announced,
+    /// the daemon asked for it
+    Requested,
+    /// {0}
+    Refusal(String),
+    /// another daemon decided so, and its journal has the cause
+    Elsewhere,
+}
+
+/// End of a session in words.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum EndWord {
+    /// its lease expired
+    LeaseExpired,
+    /// it left of its own accord
+    Left,
+    /// a new daemon took over its address
+    Replaced,
+    /// an operator confirmed that it is lost
+    ConfirmedLost,
+}
+
+impl From<EndCause> for EndWord {
+    fn from(cause: EndCause) -> Self {
+        match cause {
+            EndCause::LeaseExpired => Self::LeaseExpired,
+            EndCause::Left => Self::Left,
+            EndCause::Replaced => Self::Replaced,
+            EndCause::ConfirmedLost => Self::ConfirmedLost,
+        }
+    }
+}
+
+/// Shards as sorted ranges without gaps inside, first and last included.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ShardSet(Vec<(u32, u32)>);
+
+impl ShardSet {
+    /// Returns whether the set has the shard.
+    pub fn contains(&self, shard: ShardId) -> bool {
+        let at = self.0.partition_point(|(_, last)| *last < shard.0);
+        self.0.get(at).is_some_and(|(first, _)| *first <= shard.0)
+    }
+
+    /// Returns the number of shards.
+    pub fn count(&self) -> u64 {
+        self.0
+            .iter()
+            .map(|(first, last)| u64::from(last - first) + 1)
+            .sum()
+    }
+}
+
+impl FromIterator<ShardId> for ShardSet {
+    fn from_iter<I: IntoIterator<Item = ShardId>>(shards: I) -> Self {
+        let mut sorted: Vec<u32> = shards.into_iter().map(|shard| shard.0).collect();
+        sorted.sort_unstable();
+        let mut ranges: Vec<(u32, u32)> = Vec::new();
+        for shard in sorted {
+            match ranges.last_mut() {
+                Some((_, last)) if shard <= last.saturating_add(1) => *last = shard,
+                _ => ranges.push((shard, shard)),
+            }
+        }
+        Self(ranges)
+    }
+}
+
+impl std::fmt::Display for ShardSet {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.0.as_slice() {
+            [(first, last)] if first == last => write!(f, "shard {first}"),
+            _ => write!(f, "{} shards", self.count()),
+        }
+    }
+}
+
+impl Entry {
+    /// Returns the memory of the entry in bytes, without shared names.
+    fn cost(&self) -> usize {
+        let held = match &self.what {
+            What::Assigned { shards, .. } => size_of_val(shards.0.as_slice()),
+            // Three short texts per difference.
+            What::Configured { differences, .. } => {
+                differences.len() * (size_of::<Difference>() + 96)
+            }
+            What::Refused { command } => command.len(),
+            _ => 0,
+        };
+        size_of::<Self>() + held
+    }
+
+    /// Returns whether the entry gave this shard an owner.
+    pub fn gave_shard(&self, service: &str, wanted: ShardId) -> bool {
+        match &self.what {
+            What::Assigned {
+                service: s, shards, ..
+            } => **s == *service && shards.contains(wanted),
+            What::Moved {
+                service: s, shard, ..
+            } => **s == *service && *shard == wanted,
+            _ => false,
+        }
+    }
+
+    /// Returns whether the entry gave this key an owner of its own, or took it back.
+    pub fn gave_key(&self, service: &str, hash: u64) -> bool {
+        match &self.what {
+            What::KeyGiven {
+                service: s,
+                key_hash,
+                ..
+            }
+            | What::KeyReturned {
+                service: s,
+                key_hash,
+            } => **s == *service && *key_hash == hash,
+            _ => false,
+        }
+    }
+}
+
+impl std::fmt::Display for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} because {}", self.what, self.cause)
+    }
+}
+
+/// The newest decisions, within a bound of memory.
+#[derive(Debug)]
+pub struct Journal {
+    entries: VecDeque<Entry>,
+    budget: usize,
+    cost: usize,
+    started_ms: u64,
+    dropped: u64,
+}
+
+impl Journal {
+    /// Makes an empty journal. `started_ms` is the Unix time of now in milliseconds, and `budget`
+    /// the memory in bytes.
+    pub fn new(started_ms: u64, budget: usize) -> Self {
+        Self {
+            entries: VecDeque::new(),
+            budget,
+            cost: 0,
+            started_ms,
+            dropped: 0,
+        }
+    }
+
+    /// Adds a decision and drops the oldest ones that no longer fit. A decision that alone exceeds
+    /// the budget is dropped with them.
+    pub fn record(&mut self, entry: Entry) {
+        self.cost += entry.cost();
+        self.entries.push_back(entry);
+        while self.cost > self.budget {
+            let Some(oldest) = self.entries.pop_front() else {
+                break;
+            };
+            self.cost -= oldest.cost();
+            self.dropped += 1;
+        }
+    }
+
+    /// Returns all decisions that are held, oldest first.
+    pub fn entries(&self) -> impl DoubleEndedIterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// Returns the decisions from a Unix time in milliseconds on, oldest first.
+    pub fn since(&self, time_ms: u64) -> impl DoubleEndedIterator<Item = &Entry> {
+        self.entries
+            .iter()
+            .filter(move |entry| entry.time_ms >= time_ms)
+    }
+
+    /// Returns the newest decision that fits.
+    pub fn newest(&self, fits: impl Fn(&Entry) -> bool) -> Option<&Entry> {
+        self.entries.iter().rev().find(|entry| fits(entry))
+    }
+
+    /// Returns the Unix time in milliseconds from which on every decision is held.
+    pub fn reaches_back_to(&self) -> u64 {
+        match (self.dropped, self.entries.front()) {
+            (0, _) | (_, None) => self.started_ms,
+            (_, Some(oldest)) => oldest.time_ms,
+        }
+    }
+
+    /// Returns the number of decisions that were dropped for lack of memory.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Returns the memory that the decisions take, in bytes.
+    pub fn cost(&self) -> usize {
+        self.cost
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/operators.rs
@@ -0,0 +1,440 @@
+//! Operators' questions and commands on a fixed table, and the journal behind the answers.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_config::deployment::Deployment;
+use masticdeal_ownership::change::{Change, Delta, EndCause};
+use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::table::{
+    KeyOverride, Service, Session, Shard, Table, TargetInfo, TargetState,
+};
+use masticdeal_wire::peer::{ConfigValue, LoadHint, Versions};
+use masticdeald::operators::answer::{Reply, Status, reply};
+use masticdeald::operators::command::{Action, Outcome};
+use masticdeald::operators::facts::{Facts, Load, Peer};
+use masticdeald::operators::from_delta;
+use masticdeald::operators::journal::{Cause, Entry, Journal, What};
+use masticdeald::operators::subject::Subject;
+use masticdeald::operators::time::Utc;
+use proptest::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
+
+const KOCAELI: &str = include_str!("../../../examples/kocaeli.ini");
+const NOW_MS: u64 = 1_780_000_000_000;
+const HOT: &str = "hot";
+
+fn session(id: u32, service: u16, state: TargetState) -> Session {
+    Session {
+        id: SessionId(id),
+        incarnation: u64::from(id),
+        vm: format!("vm-{id}"),
+        address: ([127, 0, 0, 1], 7000 + id as u16).into(),
+        region: "marmara".into(),
+        data_centre: "dc-a".into(),
+        lessors: Vec::new(),
+        term: 4,
+        target: Some(TargetInfo {
+            service: ServiceId(service),
+            slots: 6,
+            checks_grants: false,
+            state,
+            capacity: 0,
+        }),
+    }
+}
+
+fn shard(owner: Option<u32>, epoch: u32) -> Shard {
+    Shard {
+        owner: owner.map(SessionId),
+        epoch: Epoch(epoch),
+    }
+}
+
+/// Search with 4 shards on VMs 1 to 3 (shard 3 has no owner), registration on VMs 4 and 5, of
+/// which VM 5 drains.
+fn table() -> Table {
+    let services = vec![
+        Service {
+            name: "search".into(),
+            shards: vec![
+                shard(Some(1), 1),
+                shard(Some(2), 5),
+                shard(Some(2), 1),
+                shard(None, 2),
+            ],
+            overrides: vec![KeyOverride {
+                key_hash: xxh3_64(HOT.as_bytes()),
+                shard: shard(Some(3), 7),
+            }],
+        },
+        Service {
+            name: "registration".into(),
+            shards: vec![],
+            overrides: vec![],
+        },
+    ];
+    let ready = TargetState::Ready;
+    let mut sessions: Vec<Session> = (1..=3).map(|id| session(id, 0, ready)).collect();
+    sessions.push(session(4, 1, ready));
+    sessions.push(session(5, 1, TargetState::Draining));
+    Table {
+        version: 17,
+        next_session: 6,
+        sessions,
+        services,
+        recent: vec![],
+    }
+}
+
+/// Everything that [`Facts`] borrows.
+struct World {
+    table: Table,
+    deployment: Deployment,
+    config: ConfigValue,
+    journal: Journal,
+    loads: Vec<Load>,
+    peers: Vec<Peer>,
+}
+
+impl World {
+    fn new() -> Self {
+        let text = KOCAELI.replace("shards = 256", "shards = 4");
+        let hint = |session, running, queued| Load {
+            session: SessionId(session),
+            load: LoadHint {
+                running,
+                queued,
+                service_us: 900,
+            },
+            age: Duration::from_millis(20),
+        };
+        let peer = |session, config, heard_s| Peer {
+            session: SessionId(session),
+            versions: Versions { table: 17, config },
+            heard: Duration::from_secs(heard_s),
+        };
+        Self {
+            table: table(),
+            deployment: Deployment::parse(&text).unwrap(),
+            config: ConfigValue {
+                revision: 4,
+                author: "Ayşe".into(),
+                time_ms: NOW_MS - 60_000,
+                change_id: 9,
+                text,
+            },
+            journal: journal(),
+            loads: vec![hint(1, 6, 12), hint(2, 3, 0)],
+            peers: vec![peer(1, 4, 0), peer(2, 5, 1), peer(3, 3, 0), peer(4, 4, 60)],
+        }
+    }
+
+    fn facts(&self) -> Facts<'_> {
+        Facts {
+            now_ms: NOW_MS,
+            name: "vm-1",
+            table: &self.table,
+            deployment: &self.deployment,
+            config: &self.config,
+            journal: &self.journal,
+            loads: &self.loads,
+            peers: &self.peers,
+        }
+    }
+
+    fn ask(&self, line: &str) -> (Status, String) {
+        match reply(line, &self.facts(), None) {
+            Reply::Answer(answer) => (answer.status, answer.text),
+            Reply::Command(command) => (Status::Ok, format!("{:?}", command.action)),
+        }
+    }
+}
+
+/// VM 0 owned shards 1 and 3, ended, and shard 1 went to VM 2; VM 5 began to drain.
+fn journal() -> Journal {
+    let mut before = table();
+    before.sessions.insert(0, session(0, 0, TargetState::Ready));
+    before.sessions[5].target.as_mut().unwrap().state = TargetState::Ready;
+    for at in [1, 3] {
+        before.services[0].shards[at].owner = Some(SessionId(0));
+    }
+    let delta = Delta {
+        to: 16,
+        change_id: ChangeId(1),
+        changes: vec![
+            Change::End {
+                session: SessionId(0),
+                term: 1,
+                cause: EndCause::LeaseExpired,
+            },
+            Change::Assign {
+                service: ServiceId(0),
+                owner: SessionId(2),
+                shards: vec![ShardId(1)],
+            },
+            Change::SetTarget {
+                session: SessionId(5),
+                target: table().sessions[4].target.clone(),
+            },
+        ],
+    };
+    let mut journal = Journal::new(NOW_MS - 600_000, 1 << 16);
+    for entry in from_delta::entries(&before, &delta, 4, NOW_MS - 30_000, None) {
+        journal.record(entry);
+    }
+    journal
+}
+
+fn key_in_shard(wanted: u64) -> String {
+    (0..)
+        .map(|n: u32| n.to_string())
+        .find(|k| xxh3_64(k.as_bytes()) & 3 == wanted)
+        .unwrap()
+}
+
+/// A line, its status, and a part of the answer.
+struct Case {
+    line: &'static str,
+    status: Status,
+    says: &'static str,
+}
+
+const fn case(line: &'static str, status: Status, says: &'static str) -> Case {
+    Case { line, status, says }
+}
+
+use Status::{Malformed, NoSuch, Ok as Fine, Refused};
+
+#[rustfmt::skip]
+const CASES: &[Case] = &[
+    case("who owns search shard 0", Fine, "vm-1 owns search shard 0 (shard 0 of 4, epoch 1). Its target in dc-a is ready, by table version 17."),
+    case("who owns search key hot", Fine, "vm-3 owns search key hot (a hot key with its own owner, epoch 7)."),
+    case("who owns search shard 3", Fine, "Nobody owns search shard 3 (shard 3) in table version 17."),
+    case("who owns search shard 4", NoSuch, "There is no shard search shard 4."),
+    case("who owns registration key 1", Fine, "registration is not divided by key, so no VM owns a key of it. Its targets: vm-4 and vm-5."),
+    case("who owns serch key 1", NoSuch, "There is no service serch. Did you mean search?"),
+    case("who owns it", Malformed, "`it` has no subject yet"),
+    case("why does vm-2 own search shard 1", Fine, "vm-2 got shard 1 of search because vm-0 was ended: its lease expired (table version 16, configuration revision 4)."),
+    case("why does vm-1 own search shard 0", Fine, "The journal of vm-1 no longer holds the decision; it reaches back to 2026-05-28 20:16:40 UTC."),
+    case("why does vm-1 own search shard 1", Fine, "vm-1 does not own search shard 1 (shard 1 of 4, epoch 5); vm-2 does."),
+    case("why does vm-7 own search shard 1", NoSuch, "There is no VM vm-7. Did you mean vm-"),
+    case("why is vm-5 away", Fine, "The target of vm-5 is draining. At 2026-05-28 20:26:10 UTC, the target of vm-5 became draining because the target announced it"),
+    case("why is vm-0 away", Fine, "vm-0 is not in the table. At 2026-05-28 20:26:10 UTC, vm-0 was ended (session 0) because its lease expired"),
+    case("why is vm-1 away", Fine, "vm-1 is not away: its target is ready."),
+    case("what does vm-3 own", Fine, "vm-3 owns 0 of 4 shards and 1 hot key of search; its target is ready"),
+    case("what does vm-4 own", Fine, "vm-4 owns nothing;"),
+    case("show services", Fine, "3 services: search (4 shards, 3 of 3 targets ready), registration (1 of 2 targets ready) and documents (0 of 0 targets ready)."),
+    case("show targets", Fine, "5 targets, 4 ready; vm-5 is draining."),
+    case("show targets of search", Fine, "3 targets of search, all ready."),
+    case("show targets of sarch", NoSuch, "Did you mean search?"),
+    case("show load", Fine, "The busiest target is vm-1: 6 running on 6 slots, 12 waiting. The mean over 2 targets is 1.75 requests per slot."),
+    case("show load of registration", Fine, "No load of any target of registration is known."),
+    case("show changes since 1m", Fine, "3 changes since 2026-05-28 20:25:40 UTC: the target of vm-5 became draining because the target announced it; vm-2 got shard 1 of search"),
+    case("show changes since 10s", Fine, "0 changes since"),
+    case("show changes since 1h", Fine, "(older ones are no longer in the journal)"),
+    case("show config", Fine, "Configuration revision 4 is by Ayşe, 2026-05-28 20:25:40 UTC. It is in force on 3 of 5 daemons, not yet on vm-3 and vm-5."),
+    case("help", Fine, "who owns SERVICE key KEY"),
+    case("shw load", Malformed, "Not understood at column 1: `shw` is not understood; did you mean `show`?"),
+    case("drain vm-1", Fine, "Drain { session: SessionId(1) }"),
+    case("drain vm-4", Refused, "1 of the targets of registration are away already and rules.max_draining is 1"),
+    case("drain vm-5", Refused, "already takes no new work"),
+    case("return vm-5", Fine, "Return { session: SessionId(5) }"),
+    case("return vm-4", Refused, "in service already"),
+    case("move search shard 1 to vm-3", Fine, "Move { service: ServiceId(0), shard: ShardId(1), key_hash: None, from: Some((SessionId(2), Epoch(5))), to: SessionId(3) }"),
+    case("move search shard 0 to vm-1", Refused, "vm-1 owns it already"),
+    case("move search shard 0 to vm-4", Refused, "does not belong to search"),
+    case("move registration key 1 to vm-4", Refused, "not divided by key"),
+    case("move search shard 9 to vm-1", Refused, "shards 0 to 3 only"),
+    case("move it to vm-1", Refused, "no subject yet"),
+    case("set search.deadline_ms 900", Fine, "if_revision: 4"),
+    case("set search.deadline_ms 2000", Refused, "search.deadline_ms is 2000 already"),
+    case("set search.deadline_ms soon", Refused, "`soon` is not valid: expected a number from 1"),
+    case("set search.shards 8", Refused, "keys would change shard and owner"),
+    case("set serch.deadline_ms 9", Refused, "did you mean `search`?"),
+    case("confirm lost vm-4", Fine, "ConfirmLost { session: SessionId(4), term: 4 }"),
+    case("confirm lost vm-2", Refused, "vm-2 answered 1000 ms ago, so it is not lost"),
+];
+
+fn sentences(text: &str) -> usize {
+    text.split_whitespace()
+        .filter(|word| word.ends_with(['.', '?', '!']))
+        .count()
+}
+
+#[gtest]
+fn each_sentence_has_its_answer() {
+    let world = World::new();
+    for case in CASES {
+        let (status, text) = world.ask(case.line);
+        expect_that!(status, eq(case.status), "{}", case.line);
+        expect_that!(text, contains_substring(case.says), "{}", case.line);
+        let command = text.contains('{');
+        expect_that!(
+            command || (1..=2).contains(&sentences(&text)),
+            eq(true),
+            "{text}"
+        );
+    }
+}
+
+/// Guards against "it" that means something else than the last answer was about.
+#[gtest]
+fn it_is_the_subject_that_the_tool_passes_back() {
+    let world = World::new();
+    let key = key_in_shard(1);
+    let Reply::Answer(first) = reply(&format!("who owns search key {key}"), &world.facts(), None)
+    else {
+        panic!("not an answer")
+    };
+    expect_that!(first.text, starts_with("vm-2 owns"));
+    let header = first.subject.unwrap().to_header();
+    let last = Subject::from_header(&header);
+    let Reply::Answer(why) = reply("why does vm-2 own it?", &world.facts(), last.as_ref()) else {
+        panic!("not an answer")
+    };
+    expect_that!(why.text, contains_substring("because vm-0 was ended"));
+    expect_that!(why.json["kind"], eq("reason"));
+    expect_that!(why.json["owner"]["thing"], eq(&format!("search key {key}")));
+    let Reply::Command(command) = reply("move it to vm-1", &world.facts(), last.as_ref()) else {
+        panic!("not a command")
+    };
+    expect_that!(command.text, eq(&format!("move search key {key} to vm-1")));
+    let answer = command.answer(&Outcome::Done {
+        table_version: 18,
+        config_revision: 0,
+    });
+    expect_that!(sentences(&answer.text), eq(2));
+    let lost = command.answer(&Outcome::Unknown {
+        reason: "the platform is silent".into(),
+    });
+    expect_that!(lost.status.code(), eq(503));
+}
+
+#[gtest]
+fn set_keeps_the_rest_of_the_text() {
+    let world = World::new();
+    let reply = reply("set rules.max_draining 2", &world.facts(), None);
+    let Reply::Command(command) = reply else {
+        panic!("not a command")
+    };
+    let Action::Configure {
+        text, differences, ..
+    } = command.action
+    else {
+        panic!("no text")
+    };
+    let expected = world
+        .config
+        .text
+        .replace("max_draining = 1", "max_draining = 2");
+    expect_that!(text, eq(&expected));
+    expect_that!(differences, len(eq(1)));
+}
+
+/// Guards against a journal that grows with the fleet, and against one that claims to be complete.
+#[gtest]
+fn journal_stays_within_its_budget() {
+    let mut journal = Journal::new(5, 10_000);
+    for time_ms in 100..1_100 {
+        let what = What::Assigned {
+            service: "search".into(),
+            // Every second shard, so that no two join into one range.
+            shards: (0..50).map(|n| ShardId(2 * n)).collect(),
+            vm: "vm-1".into(),
+            session: SessionId(1),
+        };
+        let versions = Versions::default();
+        journal.record(Entry {
+            time_ms,
+            versions,
+            what,
+            cause: Cause::FirstOwner,
+        });
+        assert_that!(journal.cost(), le(10_000));
+    }
+    let held = journal.entries().count() as u64;
+    expect_that!(held, gt(5));
+    expect_that!(held + journal.dropped(), eq(1_000));
+    expect_that!(journal.reaches_back_to(), eq(1_100 - held));
+    expect_that!(journal.since(1_098).count(), eq(2));
+    let newest = journal
+        .newest(|e| e.gave_shard("search", ShardId(4)))
+        .unwrap();
+    expect_that!(newest.time_ms, eq(1_099));
+    expect_that!(
+        journal.newest(|e| e.gave_shard("search", ShardId(5))),
+        none()
+    );
+}
+
+/// A session that joins and a service that is declared in one swap are named in the same swap.
+#[gtest]
+fn one_swap_can_refer_to_what_it_adds() {
+    let delta = Delta {
+        to: 1,
+        change_id: ChangeId(1),
+        changes: vec![
+            Change::Join {
+                session: session(9, 0, TargetState::Ready),
+            },
+            Change::DeclareService {
+                name: "search".into(),
+                shards: 4,
+            },
+            Change::Assign {
+                service: ServiceId(0),
+                owner: SessionId(0),
+                shards: (0..4).map(ShardId).collect(),
+            },
+        ],
+    };
+    let entries = from_delta::entries(&Table::default(), &delta, 1, 1, None);
+    let text: Vec<String> = entries.iter().map(ToString::to_string).collect();
+    expect_that!(
+        text[0],
+        eq("vm-9 joined as session 0 because the daemon asked for it")
+    );
+    let assigned = "vm-9 got 4 shards of search because nobody owned it at that moment";
+    expect_that!(text[2], eq(assigned));
+}
+
+#[gtest]
+fn unix_time_is_shown_as_utc() {
+    for (ms, text) in [
+        (0, "1970-01-01 00:00:00 UTC"),
+        (951_782_400_000, "2000-02-29 00:00:00 UTC"),
+        (1_709_251_199_999, "2024-02-29 23:59:59 UTC"),
+        (4_107_542_400_000, "2100-03-01 00:00:00 UTC"),
+    ] {
+        expect_that!(Utc(ms).to_string(), eq(text));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
+
+    /// A subject survives its header whatever the key, and any header is safe to read.
+    #[test]
+    fn subject_header(key in "[^\\p{Cc}]{1,40}", junk in "\\PC{0,60}") {
+        let line = masticdeal_language::Thing::Key { service: "search".into(), key };
+        let subject = Subject::resolve(&line, None).unwrap();
+        let header = subject.to_header();
+        prop_assert!(header.bytes().all(|b| (b' '..=b'~').contains(&b)));
+        prop_assert_eq!(Subject::from_header(&header), Some(subject));
+        let _ = Subject::from_header(&junk);
+    }
+
+    /// Words of the language in any order get an answer, never a panic.
+    #[test]
+    fn any_line_is_answered(line in "((who|owns|why|does|own|is|away|it|show|load|changes|since|1h|set|search|registration|rules\\.max_draining|key|shard|move|to|drain|confirm|lost|7|vm-3|vm-9) ?){0,9}") {
+        let world = World::new();
+        let (_, text) = world.ask(&line);
+        prop_assert!(!text.is_empty());
+    }
+}
