Add the demo and the fleet that it starts

The demo starts the platform stand-in, one daemon and one target per VM, writes the configuration through the operators port, offers load, asks three questions through the command-line tool and compares all records.

--- /dev/null
+++ b/crates/bench/src/bin/demo.rs
@@ -0,0 +1,121 @@
+//! Starts a whole deployment on loopback, serves requests, asks operators' questions and compares
+//! the records of callers and targets.
+
+use std::process::{Command, ExitCode};
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_bench::check::{Violation, check};
+use masticdeal_bench::fleet::{Error, Fleet, binary, interrupted};
+use masticdeal_bench::layout::Layout;
+use masticdeal_bench::load::{Plan, Summary, run};
+
+/// Longest wait for the fleet to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// Serves requests on a whole deployment on loopback.
+#[derive(argh::FromArgs)]
+struct Args {
+    /// kocaeli or hanoi (default kocaeli)
+    #[argh(option, default = "\"kocaeli\".into()")]
+    deployment: String,
+    /// requests per second (default 200)
+    #[argh(option, default = "200.0")]
+    rate: f64,
+    /// length of the load in seconds (default 5)
+    #[argh(option, default = "5.0")]
+    seconds: f64,
+    /// seed of the load (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let Some(layout) = Layout::named(&args.deployment) else {
+        eprintln!("demo: unknown deployment {}", args.deployment);
+        return ExitCode::FAILURE;
+    };
+    let result = tokio::select! {
+        result = demo(&args, layout) => result,
+        () = interrupted() => Ok(false),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("demo: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo(args: &Args, layout: Layout) -> Result<bool, Error> {
+    let mut fleet = Fleet::new(layout, false)?;
+    println!(
+        "demo: settings, logs and records in {}",
+        fleet.dir.display()
+    );
+    fleet.start(READY_LIMIT).await?;
+    println!("demo: {} daemons ready", fleet.vms.len());
+    let plan = Plan {
+        services: fleet.mix(),
+        rate: args.rate,
+        duration: Duration::from_secs_f64(args.seconds),
+        seed: args.seed,
+        ..Plan::default()
+    };
+    let outcomes = run(plan.clone(), Arc::default()).await;
+    let summary = Summary::of(&outcomes, plan.duration);
+    for (seen, count) in &summary.seen {
+        println!("demo: {count} {seen}");
+    }
+    for (group, l) in &summary.latency_us {
+        println!("demo: {group}: p50 {} us, p99 {} us", l.p50, l.p99);
+    }
+    let asked = ask(&fleet);
+    fleet.check_alive()?;
+    let report = check(&fleet.events()?, &outcomes);
+    for violation in &report.violations {
+        println!("demo: {violation}");
+    }
+    let lost = report.count(|v| matches!(v, Violation::Lost { .. }));
+    let doubled = report.count(|v| matches!(v, Violation::Doubled { .. }));
+    println!(
+        "demo: sent {}, answered {}, lost {lost}, doubled {doubled}",
+        report.sent, report.answered
+    );
+    let good = asked && report.violations.is_empty() && report.sent == report.answered;
+    if good {
+        fleet.remove_dir();
+    }
+    Ok(good && report.sent > 0)
+}
+
+/// Asks three questions through the command-line tool. Returns whether all were answered.
+fn ask(fleet: &Fleet) -> bool {
+    let divided = &fleet.layout.services[0].name;
+    let questions = [
+        format!("who owns {divided} key 4711"),
+        format!("why does vm-1 own {divided} key 4711"),
+        "show load".to_owned(),
+    ];
+    let mut all = true;
+    for question in &questions {
+        let answer = Command::new(binary("masticdeal"))
+            .args(["--daemon", &fleet.vms[0].operators().to_string()])
+            .arg("--secret-file")
+            .arg(fleet.secret_file())
+            .args(["ask", question])
+            .output();
+        let (good, text) = match &answer {
+            Ok(out) if out.status.success() && !out.stdout.is_empty() => (true, &out.stdout),
+            Ok(out) => (false, &out.stderr),
+            Err(_) => (false, &Vec::new()),
+        };
+        println!("demo: {question}? {}", String::from_utf8_lossy(text).trim());
+        all &= good;
+    }
+    all
+}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,471 @@
+//! A fleet of real processes on loopback: platform stand-in, daemons and target stand-ins.
+//!
+//! Every process belongs to the fleet that started it and is killed when the fleet is dropped. Each
+//! VM has an address of its own, so that peers can tell from an address who connects.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use http::Method;
+use masticdeal_wire::headers;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::http1::{self, Answer, Client};
+use crate::layout::Layout;
+use crate::platform::{Fault, Stats};
+use crate::records::{Event, read_all};
+use crate::vm::{Part, Vm, place};
+use crate::{load, target};
+
+/// Longest wait for one answer of a daemon's operators port.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Secret of the operators in a fleet.
+const OPERATORS_SECRET: &str = "operators-of-a-run-on-loopback";
+
+/// Why a fleet does not run.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0}: {1}
+    Io(String, std::io::Error),
+    /// no free ports
+    NoPorts,
+    /// {0} has ended with {1}; its log is {2}
+    Ended(String, std::process::ExitStatus, String),
+    /// not ready after {0:?}: {1}
+    NotReady(Duration, String),
+    /// configuration refused with status {0}: {1}
+    Refused(u16, String),
+    /// {0}
+    Http(http1::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl From<http1::Error> for Error {
+    fn from(e: http1::Error) -> Self {
+        Self::Http(e)
+    }
+}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// The running processes.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Sizes.
+    pub layout: Layout,
+    /// VMs in the order of the layout's services.
+    pub vms: Vec<Vm>,
+    /// Folder of settings, logs and records.
+    pub dir: PathBuf,
+    /// HTTP client for control.
+    pub http: Client,
+    relayed: bool,
+    platform_at: SocketAddr,
+    platform: Child,
+}
+
+impl Fleet {
+    /// Starts the platform stand-in and lays out the VMs; daemons and targets start later. With
+    /// `relayed` the daemons advertise the relay's addresses.
+    ///
+    /// # Errors
+    ///
+    /// When files or ports are not to be had, or a process does not start.
+    pub fn new(layout: Layout, relayed: bool) -> Result<Self> {
+        let dir = new_dir()?;
+        let (platform_at, vms) = place(&layout).ok_or(Error::NoPorts)?;
+        let mut command = Command::new(binary("platform-standin"));
+        command.args(["--listen", &platform_at.to_string()]);
+        let platform = spawn(command, &dir.join("platform.log"))?;
+        let fleet = Self {
+            layout,
+            vms,
+            dir,
+            http: Client::default(),
+            relayed,
+            platform_at,
+            platform,
+        };
+        write(&fleet.secret_file(), OPERATORS_SECRET)?;
+        Ok(fleet)
+    }
+
+    /// Starts a whole fleet: all processes, the configuration, and the wait until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn start(&mut self, limit: Duration) -> Result<()> {
+        for vm in 0..self.vms.len() {
+            self.start_part(vm, Part::Daemon)?;
+            self.start_part(vm, Part::Target)?;
+        }
+        self.first_config(limit).await?;
+        self.wait_ready(limit).await
+    }
+
+    /// Starts a daemon or a target at its fixed addresses.
+    ///
+    /// # Errors
+    ///
+    /// When the process does not start.
+    pub fn start_part(&mut self, vm: usize, part: Part) -> Result<()> {
+        let log = self.dir.join(format!("{}-{part:?}.log", self.vms[vm].name));
+        let command = match part {
+            Part::Daemon => self.daemon_command(vm)?,
+            Part::Target => self.target_command(vm),
+        };
+        let child = spawn(command, &log)?;
+        match part {
+            Part::Daemon => self.vms[vm].daemon = Some(child),
+            Part::Target => self.vms[vm].target = Some(child),
+        }
+        Ok(())
+    }
+
+    /// Kills a daemon or a target and waits for its end.
+    pub fn kill(&mut self, vm: usize, part: Part) {
+        let child = match part {
+            Part::Daemon => self.vms[vm].daemon.take(),
+            Part::Target => self.vms[vm].target.take(),
+        };
+        if let Some(mut child) = child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops a process where it stands (`SIGSTOP`).
+    pub fn freeze(&self, vm: usize, part: Part) {
+        self.signal(vm, part, Signal::STOP);
+    }
+
+    /// Lets a stopped process go on (`SIGCONT`).
+    pub fn thaw(&self, vm: usize, part: Part) {
+        self.signal(vm, part, Signal::CONT);
+    }
+
+    fn signal(&self, vm: usize, part: Part, signal: Signal) {
+        let pid = self.vms[vm].pid(part);
+        if let Some(pid) = pid.and_then(|pid| Pid::from_raw(pid as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn daemon_command(&self, vm: usize) -> Result<Command> {
+        let settings = self.dir.join(format!("{}.ini", self.vms[vm].name));
+        write(&settings, &self.settings(vm))?;
+        let mut command = Command::new(binary("masticdeald"));
+        command.arg("--config").arg(settings);
+        Ok(command)
+    }
+
+    fn settings(&self, vm: usize) -> String {
+        let region = self.layout.region;
+        let vm = &self.vms[vm];
+        let advertised = match self.relayed {
+            true => format!("peers_advertised = {}\n", vm.relay()),
+            false => String::new(),
+        };
+        format!(
+            "[daemon]\nname = {}\nregion = {region}\ndata_centre = {}\n\
+             [listen]\ncallers = {}\npeers = {}\n{advertised}operators = {}\nannounce = {}\n\
+             [platform]\naddress = {}\ntimeout_ms = 500\n\
+             [secret]\npeers = peers-of-a-run-on-loopback\noperators = {OPERATORS_SECRET}\n\
+             [log]\nlevel = info\n",
+            vm.name,
+            vm.data_centre,
+            vm.callers(),
+            vm.peers(),
+            vm.operators(),
+            vm.announce(),
+            self.platform_at,
+        )
+    }
+
+    fn target_command(&self, vm: usize) -> Command {
+        let vm = &self.vms[vm];
+        let service = &self.layout.services[vm.service];
+        let mut command = Command::new(binary("target-standin"));
+        command
+            .args(["--listen", &vm.target().to_string()])
+            .args(["--announce", &vm.announce().to_string()])
+            .args(["--name", &vm.name, "--service", service.name])
+            .args(["--slots", &self.layout.slots.to_string()])
+            .args(["--connections", &self.layout.connections.to_string()])
+            .arg("--record")
+            .arg(self.record_file(&vm.name));
+        if service.checks_grants {
+            command.arg("--checks-grants");
+        }
+        command
+    }
+
+    fn record_file(&self, vm: &str) -> PathBuf {
+        self.dir.join(format!("{vm}.jsonl"))
+    }
+
+    /// Returns the file with the operators' secret.
+    pub fn secret_file(&self) -> PathBuf {
+        self.dir.join("secret")
+    }
+
+    async fn first_config(&mut self, limit: Duration) -> Result<()> {
+        let start = Instant::now();
+        let text = self.layout.config(2_000);
+        loop {
+            self.check_alive()?;
+            match self.put_config(0, 0, &text, "run").await {
+                Ok(answer) if answer.status.is_success() => return Ok(()),
+                Ok(answer) if answer.status == 409 => return Ok(()),
+                Ok(answer) if answer.status == 400 || start.elapsed() > limit => {
+                    return Err(Error::Refused(answer.status.as_u16(), answer.text()));
+                }
+                Err(e) if start.elapsed() > limit => return Err(e.into()),
+                _ => tokio::time::sleep(Duration::from_millis(100)).await,
+            }
+        }
+    }
+
+    /// Writes a configuration through the operators port of a daemon.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer; the configuration may have been accepted.
+    pub async fn put_config(
+        &self,
+        vm: usize,
+        if_revision: u64,
+        text: &str,
+        author: &str,
+    ) -> http1::Result<Answer> {
+        let if_revision = if_revision.to_string();
+        let change = rand::random::<u64>().to_string();
+        let headers = [
+            (headers::IF_REVISION, if_revision.as_str()),
+            (headers::AUTHOR, author),
+            (headers::CHANGE_ID, &change),
+        ];
+        let path = headers::PATH_CONFIG;
+        self.operate(vm, Method::PUT, path, &headers, text).await
+    }
+
+    /// Sends a sentence to a daemon and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer; a command may have been carried out.
+    pub async fn ask(&self, vm: usize, sentence: &str) -> http1::Result<Answer> {
+        let path = headers::PATH_ASK;
+        self.operate(vm, Method::POST, path, &[], sentence).await
+    }
+
+    /// Reads a path of the operators port.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer.
+    pub async fn read(&self, vm: usize, path: &str) -> http1::Result<Answer> {
+        self.operate(vm, Method::GET, path, &[], "").await
+    }
+
+    async fn operate(
+        &self,
+        vm: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> http1::Result<Answer> {
+        let bearer = format!("Bearer {OPERATORS_SECRET}");
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend(headers);
+        let to = self.vms[vm].operators();
+        let body = body.to_owned();
+        self.http
+            .send(method, to, path, &all, body, CALL_LIMIT)
+            .await
+    }
+
+    /// Waits until every daemon that runs answers `/readyz` with 200.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Ended`] when a process has ended, [`Error::NotReady`] past the limit.
+    pub async fn wait_ready(&mut self, limit: Duration) -> Result<()> {
+        let start = Instant::now();
+        loop {
+            self.check_alive()?;
+            let mut waiting = String::new();
+            for vm in (0..self.vms.len()).filter(|&vm| self.vms[vm].runs(Part::Daemon)) {
+                let name = &self.vms[vm].name;
+                match self.read(vm, "/readyz").await {
+                    Ok(answer) if answer.status == 200 => {}
+                    Ok(answer) => waiting += &format!("{name}: {}; ", answer.text().trim()),
+                    Err(e) => waiting += &format!("{name}: {e}; "),
+                }
+            }
+            if waiting.is_empty() {
+                return Ok(());
+            }
+            if start.elapsed() > limit {
+                return Err(Error::NotReady(limit, waiting));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Checks that no process ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Ended`].
+    pub fn check_alive(&mut self) -> Result<()> {
+        let dir = self.dir.display().to_string();
+        for vm in &mut self.vms {
+            for (part, child) in [("daemon", &mut vm.daemon), ("target", &mut vm.target)] {
+                let ended = child.as_mut().and_then(|c| c.try_wait().ok().flatten());
+                if let Some(status) = ended {
+                    return Err(Error::Ended(format!("{part} of {}", vm.name), status, dir));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Sets the faults of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn fault(&self, fault: &Fault) -> http1::Result<()> {
+        let body = serde_json::to_vec(fault).unwrap_or_default();
+        let (to, path) = (self.platform_at, "/control/fault");
+        let sent = self
+            .http
+            .send(Method::POST, to, path, &[], body, CALL_LIMIT);
+        sent.await.map(drop)
+    }
+
+    /// Reads the call counters of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn stats(&self) -> http1::Result<Stats> {
+        let (to, path) = (self.platform_at, "/control/stats");
+        let sent = self.http.send(Method::GET, to, path, &[], "", CALL_LIMIT);
+        Ok(serde_json::from_slice(&sent.await?.body).unwrap_or_default())
+    }
+
+    /// Sets the state of a target stand-in.
+    ///
+    /// # Errors
+    ///
+    /// When it does not answer.
+    pub async fn set_target(&self, vm: usize, state: &target::State) -> http1::Result<()> {
+        let body = serde_json::to_vec(state).unwrap_or_default();
+        let (to, path) = (self.vms[vm].target(), "/control/state");
+        let sent = self
+            .http
+            .send(Method::POST, to, path, &[], body, CALL_LIMIT);
+        sent.await.map(drop)
+    }
+
+    /// Returns the services of the layout as a mix for the load tool, weighted by their targets.
+    pub fn mix(&self) -> Vec<load::Service> {
+        let addresses: Vec<_> = self.vms.iter().map(Vm::callers).collect();
+        let services = self.layout.services.iter();
+        let service = |s: &crate::layout::Service| load::Service {
+            name: s.name.to_owned(),
+            weight: s.targets as f64,
+            method: s.method.clone(),
+            addresses: addresses.clone(),
+        };
+        services.map(service).collect()
+    }
+
+    /// Reads what the targets recorded.
+    ///
+    /// # Errors
+    ///
+    /// When a record cannot be read.
+    pub fn events(&self) -> Result<Vec<Event>> {
+        let files: Vec<_> = self
+            .vms
+            .iter()
+            .map(|vm| self.record_file(&vm.name))
+            .collect();
+        read_all(&files).map_err(|e| Error::Io("records".into(), e))
+    }
+
+    /// Removes the folder of the run. Processes that still write to it keep their files.
+    pub fn remove_dir(&self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for vm in 0..self.vms.len() {
+            self.kill(vm, Part::Daemon);
+            self.kill(vm, Part::Target);
+        }
+        let _ = self.platform.kill();
+        let _ = self.platform.wait();
+    }
+}
+
+/// Returns the path of a binary of this workspace: beside this one, or one folder up for a test.
+pub fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let folders = own.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(name));
+    paths
+        .find(|path| path.exists())
+        .unwrap_or_else(|| name.into())
+}
+
+fn spawn(mut command: Command, log: &Path) -> Result<Child> {
+    let name = command.get_program().to_string_lossy().into_owned();
+    let io = |e| Error::Io(name.clone(), e);
+    let log = File::options().create(true).append(true).open(log);
+    let log = log.map_err(io)?;
+    command
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().map_err(io)?)
+        .stderr(log)
+        .spawn()
+        .map_err(io)
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).map_err(|e| Error::Io(path.display().to_string(), e))
+}
+
+fn new_dir() -> Result<PathBuf> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("masticdeal-run-{}-{count}", std::process::id());
+    let dir = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&dir).map_err(|e| Error::Io(dir.display().to_string(), e))?;
+    Ok(dir)
+}
+
+/// Waits for a signal that asks this process to end, so that a fleet is dropped in order.
+pub async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut end = signal(SignalKind::terminate()).expect("signal handler");
+    tokio::select! {
+        _ = end.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,10 +5,13 @@
 //! compares them after a run.
 
 pub mod check;
+pub mod fleet;
 pub mod http1;
+pub mod layout;
 pub mod load;
 pub mod payload;
 pub mod platform;
 pub mod records;
 pub mod store;
 pub mod target;
+pub mod vm;
