--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -12,19 +12,16 @@
 
 use displaydoc::Display;
 use http::Method;
-use masticdeal_wire::headers;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::http1::{self, Answer, Client};
+use crate::http1;
 use crate::layout::Layout;
+use crate::operators::{CALL_LIMIT, Operators};
 use crate::platform::{Fault, Stats};
 use crate::records::{Event, read_all};
 use crate::vm::{Part, Vm, place};
 use crate::{load, target};
 
-/// Longest wait for one answer of a daemon's operators port.
-const CALL_LIMIT: Duration = Duration::from_secs(3);
-
 /// Secret of the operators in a fleet.
 const OPERATORS_SECRET: &str = "operators-of-a-run-on-loopback";
 
@@ -65,8 +62,8 @@
     pub vms: Vec<Vm>,
     /// Folder of settings, logs and records.
     pub dir: PathBuf,
-    /// HTTP client for control.
-    pub http: Client,
+    /// Client of the daemons' operators ports.
+    pub operators: Operators,
     relayed: bool,
     platform_at: SocketAddr,
     platform: Child,
@@ -89,7 +86,7 @@
             layout,
             vms,
             dir,
-            http: Client::default(),
+            operators: Operators::new(OPERATORS_SECRET),
             relayed,
             platform_at,
             platform,
@@ -223,7 +220,8 @@
         let text = self.layout.config(2_000);
         loop {
             self.check_alive()?;
-            match self.put_config(0, 0, &text, "run").await {
+            let first = self.vms[0].operators();
+            match self.operators.put_config(first, 0, &text, "run").await {
                 Ok(answer) if answer.status.is_success() => return Ok(()),
                 Ok(answer) if answer.status == 409 => return Ok(()),
                 Ok(answer) if answer.status == 400 || start.elapsed() > limit => {
@@ -235,66 +233,6 @@
         }
     }
 
-    /// Writes a configuration through the operators port of a daemon.
-    ///
-    /// # Errors
-    ///
-    /// When there is no answer; the configuration may have been accepted.
-    pub async fn put_config(
-        &self,
-        vm: usize,
-        if_revision: u64,
-        text: &str,
-        author: &str,
-    ) -> http1::Result<Answer> {
-        let if_revision = if_revision.to_string();
-        let change = rand::random::<u64>().to_string();
-        let headers = [
-            (headers::IF_REVISION, if_revision.as_str()),
-            (headers::AUTHOR, author),
-            (headers::CHANGE_ID, &change),
-        ];
-        let path = headers::PATH_CONFIG;
-        self.operate(vm, Method::PUT, path, &headers, text).await
-    }
-
-    /// Sends a sentence to a daemon and returns its answer.
-    ///
-    /// # Errors
-    ///
-    /// When there is no answer; a command may have been carried out.
-    pub async fn ask(&self, vm: usize, sentence: &str) -> http1::Result<Answer> {
-        let path = headers::PATH_ASK;
-        self.operate(vm, Method::POST, path, &[], sentence).await
-    }
-
-    /// Reads a path of the operators port.
-    ///
-    /// # Errors
-    ///
-    /// When there is no answer.
-    pub async fn read(&self, vm: usize, path: &str) -> http1::Result<Answer> {
-        self.operate(vm, Method::GET, path, &[], "").await
-    }
-
-    async fn operate(
-        &self,
-        vm: usize,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &str,
-    ) -> http1::Result<Answer> {
-        let bearer = format!("Bearer {OPERATORS_SECRET}");
-        let mut all = vec![("authorization", bearer.as_str())];
-        all.extend(headers);
-        let to = self.vms[vm].operators();
-        let body = body.to_owned();
-        self.http
-            .send(method, to, path, &all, body, CALL_LIMIT)
-            .await
-    }
-
     /// Waits until every daemon that runs answers `/readyz` with 200.
     ///
     /// # Errors
@@ -307,7 +245,8 @@
             let mut waiting = String::new();
             for vm in (0..self.vms.len()).filter(|&vm| self.vms[vm].runs(Part::Daemon)) {
                 let name = &self.vms[vm].name;
-                match self.read(vm, "/readyz").await {
+                let at = self.vms[vm].operators();
+                match self.operators.read(at, "/readyz").await {
                     Ok(answer) if answer.status == 200 => {}
                     Ok(answer) => waiting += &format!("{name}: {}; ", answer.text().trim()),
                     Err(e) => waiting += &format!("{name}: {e}; "),
@@ -350,6 +289,7 @@
         let body = serde_json::to_vec(fault).unwrap_or_default();
         let (to, path) = (self.platform_at, "/control/fault");
         let sent = self
+            .operators
             .http
             .send(Method::POST, to, path, &[], body, CALL_LIMIT);
         sent.await.map(drop)
@@ -362,7 +302,10 @@
     /// When it does not answer.
     pub async fn stats(&self) -> http1::Result<Stats> {
         let (to, path) = (self.platform_at, "/control/stats");
-        let sent = self.http.send(Method::GET, to, path, &[], "", CALL_LIMIT);
+        let sent = self
+            .operators
+            .http
+            .send(Method::GET, to, path, &[], "", CALL_LIMIT);
         Ok(serde_json::from_slice(&sent.await?.body).unwrap_or_default())
     }
 
@@ -375,6 +318,7 @@
         let body = serde_json::to_vec(state).unwrap_or_default();
         let (to, path) = (self.vms[vm].target(), "/control/state");
         let sent = self
+            .operators
             .http
             .send(Method::POST, to, path, &[], body, CALL_LIMIT);
         sent.await.map(drop)
