--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,10 +5,15 @@
 //! compares them after a run.
 
 pub mod check;
+pub mod fleet;
 pub mod http1;
+pub mod layout;
 pub mod load;
+pub mod operators;
 pub mod payload;
 pub mod platform;
 pub mod records;
+pub mod relay;
 pub mod store;
 pub mod target;
+pub mod vm;
