--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -64,6 +64,8 @@
     pub moves_per_round: usize,
     /// Excess of the busiest target over the mean below which the planner moves nothing.
     pub imbalance_tolerance: f64,
+    /// Names of the VMs whose targets an operator took away, in alphabetical order.
+    pub away: Vec<String>,
 }
 
 impl Default for Service {
@@ -90,6 +92,7 @@
             max_draining: 1,
             moves_per_round: 4,
             imbalance_tolerance: 0.15,
+            away: Vec::new(),
         }
     }
 }
--- a/crates/config/src/deployment_read.rs
+++ b/crates/config/src/deployment_read.rs
@@ -21,7 +21,12 @@
     "retry_budget",
     "max_ejected",
 ];
-pub(crate) const RULE_KEYS: [&str; 3] = ["max_draining", "moves_per_round", "imbalance_tolerance"];
+pub(crate) const RULE_KEYS: [&str; 4] = [
+    "max_draining",
+    "moves_per_round",
+    "imbalance_tolerance",
+    "away",
+];
 pub(crate) const METHODS: [&str; 8] = [
     "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE", "POST", "PATCH",
 ];
@@ -142,6 +147,21 @@
         "",
         &mut rules.imbalance_tolerance,
     );
+    read_away(&mut rules.away, reader);
+}
+
+fn read_away(away: &mut Vec<String>, reader: &mut Reader<'_, '_>) {
+    let Some(entry) = reader.entry("away") else {
+        return;
+    };
+    for name in list(entry) {
+        if !is_name(name) {
+            return reader.invalid(entry, "names of VMs, separated by commas");
+        }
+        away.push(name.into());
+    }
+    away.sort_unstable();
+    away.dedup();
 }
 
 fn read_paths(paths: &mut Vec<String>, reader: &mut Reader<'_, '_>) {
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -68,6 +68,7 @@
             ("max_draining", self.max_draining.to_string()),
             ("moves_per_round", self.moves_per_round.to_string()),
             ("imbalance_tolerance", self.imbalance_tolerance.to_string()),
+            ("away", self.away.join(", ")),
         ]
     }
 }
--- /dev/null
+++ b/crates/daemon/src/control/commands.rs
@@ -0,0 +1,192 @@
+//! Runs the commands of operators.
+//!
+//! Taking a target away, returning it and changing a setting are changes of the configuration, so
+//! that they are accepted by one swap, survive every daemon, and have an author. A move and the
+//! confirmation of a loss are changes of the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_config::edit;
+use masticdeal_ownership::ids::{Epoch, SessionId};
+use masticdeal_ownership::lease::Event;
+use masticdeal_ownership::table::Table;
+use masticdeal_wire::headers::PATH_RELEASE;
+use masticdeal_wire::peer::{ConfigValue, Release, ReleaseReply};
+
+use super::Control;
+use super::config_store::{Error, Proposal, Result};
+use crate::operators::command::{Action, Command, Outcome};
+
+/// Longest wait for an owner to begin a release.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait for a command's effect on the table.
+const EFFECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Control {
+    /// Has a configuration accepted and passes it on to the other daemons.
+    pub async fn propose_config(self: &Arc<Self>, proposal: &Proposal) -> Result<ConfigValue> {
+        let value = self.config.propose(proposal).await?;
+        self.spread_config();
+        Ok(value)
+    }
+
+    /// Runs a command that was checked against the facts.
+    pub async fn run_command(self: &Arc<Self>, command: &Command, author: &str) -> Outcome {
+        match &command.action {
+            Action::Drain { session } => self.set_away(*session, true, author).await,
+            Action::Return { session } => self.set_away(*session, false, author).await,
+            Action::Configure {
+                if_revision, text, ..
+            } => self.configure(*if_revision, text.clone(), author).await,
+            Action::Move { .. } => self.run_move(&command.action).await,
+            Action::ConfirmLost { session, .. } => self.confirm_lost(*session).await,
+        }
+    }
+
+    async fn set_away(self: &Arc<Self>, session: SessionId, away: bool, author: &str) -> Outcome {
+        let vm = self
+            .node
+            .table
+            .borrow()
+            .session(session)
+            .map(|s| s.vm.clone());
+        let Some(vm) = vm else {
+            return refused("its session has ended");
+        };
+        let current = self.config.current();
+        let mut names = self.node.deployment.borrow().1.rules.away.clone();
+        names.retain(|name| *name != vm);
+        if away {
+            names.push(vm);
+        }
+        match edit::set(&current.text, edit::RULES, "away", &names.join(", ")) {
+            Ok((text, _)) => self.configure(current.revision, text, author).await,
+            Err(faults) => refused(faults.first().map_or(String::new(), ToString::to_string)),
+        }
+    }
+
+    async fn configure(self: &Arc<Self>, expect: u64, text: String, author: &str) -> Outcome {
+        let proposal = Proposal {
+            expect,
+            author: author.into(),
+            time_ms: super::unix_ms(),
+            change_id: rand::random(),
+            text,
+        };
+        match self.propose_config(&proposal).await {
+            Ok(value) => Outcome::Done {
+                table_version: 0,
+                config_revision: value.revision,
+            },
+            Err(Error::Conflict(current)) => refused(format!(
+                "{} changed the configuration to revision {} at the same time",
+                current.author, current.revision
+            )),
+            Err(Error::Faults(faults)) => {
+                refused(faults.first().map_or(String::new(), ToString::to_string))
+            }
+            Err(e @ Error::Unavailable(_)) => Outcome::Unknown {
+                reason: e.to_string(),
+            },
+        }
+    }
+
+    async fn run_move(self: &Arc<Self>, action: &Action) -> Outcome {
+        let Action::Move {
+            service,
+            shard,
+            key_hash,
+            from,
+            to,
+        } = *action
+        else {
+            return refused("it is not a move");
+        };
+        let Some((owner, epoch)) = from else {
+            return refused("nobody owns it at the moment");
+        };
+        if owner == to {
+            return refused("it is there already");
+        }
+        let release = Release {
+            service,
+            shard,
+            key_hash,
+            epoch,
+            to,
+        };
+        let reply = if Some(owner) == self.session() {
+            Some(self.on_release(release))
+        } else {
+            self.call(owner, PATH_RELEASE, &release, RELEASE_TIMEOUT)
+                .await
+        };
+        match reply {
+            Some(ReleaseReply::Started) => {}
+            Some(ReleaseReply::NotOwner) => return refused("its owner changed meanwhile"),
+            None => return unknown("its owner does not answer"),
+        }
+        let moved = |table: &Table| {
+            let found = assignment(table, &release);
+            found.is_some_and(|(now, _)| now == to)
+        };
+        self.await_table(moved, "running work did not finish in time")
+            .await
+    }
+
+    async fn confirm_lost(self: &Arc<Self>, session: SessionId) -> Outcome {
+        let vm = self
+            .node
+            .table
+            .borrow()
+            .session(session)
+            .map(|s| s.vm.clone());
+        let Some(vm) = vm else {
+            return refused("its session has ended already");
+        };
+        self.feed(Event::ConfirmLost { vm });
+        let ended = move |table: &Table| table.session(session).is_none();
+        self.await_table(ended, "the table did not change in time")
+            .await
+    }
+
+    /// Waits until the table shows the effect of a command.
+    async fn await_table(&self, shows: impl Fn(&Table) -> bool, why_not: &str) -> Outcome {
+        let mut table = self.node.table.subscribe();
+        let wait = table.wait_for(|table| shows(table));
+        match tokio::time::timeout(EFFECT_TIMEOUT, wait).await {
+            Ok(Ok(table)) => Outcome::Done {
+                table_version: table.version,
+                config_revision: 0,
+            },
+            _ => unknown(why_not),
+        }
+    }
+}
+
+/// Returns owner and epoch of the shard or key that a release names.
+fn assignment(table: &Table, release: &Release) -> Option<(SessionId, Epoch)> {
+    let service = table.service(release.service)?;
+    let shard = match release.key_hash {
+        None => service.shards.get(release.shard.index())?,
+        Some(hash) => {
+            let found = service.overrides.iter().find(|o| o.key_hash == hash)?;
+            &found.shard
+        }
+    };
+    Some((shard.owner?, shard.epoch))
+}
+
+fn refused(reason: impl Into<String>) -> Outcome {
+    Outcome::Refused {
+        reason: reason.into(),
+    }
+}
+
+fn unknown(reason: impl Into<String>) -> Outcome {
+    Outcome::Unknown {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/driver.rs
@@ -0,0 +1,267 @@
+//! Feeds events to the lease core and carries out its effects.
+//!
+//! The core is called under a lock and does no I/O; its effects run as tasks that report back with
+//! further events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_ownership::change::Delta;
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_ownership::lease::{Effect, Event, Expiry, Outcome, Renewal};
+use masticdeal_ownership::table::Table;
+use masticdeal_wire::headers;
+use masticdeal_wire::peer::{Expired, ExpiredReply, News, Renew, RenewReply, Versions};
+
+use super::Control;
+use super::table_store::Swapped;
+use crate::operators::from_delta;
+
+/// Longest sleep of the driver when the core asks for no earlier tick.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Lets the core act at the times it asks for, until the task is dropped.
+    pub async fn drive(self: Arc<Self>) {
+        loop {
+            self.feed(Event::Tick);
+            let sleep = self.time_to_tick();
+            tokio::select! {
+                () = tokio::time::sleep(sleep) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    fn record_deltas(&self, before: &Arc<Table>, deltas: &[Delta]) {
+        let mut table = before.clone();
+        let config = self.node.deployment.borrow().0;
+        let time_ms = super::unix_ms();
+        let mut journal = self.journal.lock().unwrap();
+        for delta in deltas.iter().filter(|delta| delta.to > before.version) {
+            let entries = from_delta::entries(&table, delta, config, time_ms, None);
+            entries.into_iter().for_each(|entry| journal.record(entry));
+            match table.apply(delta) {
+                Ok(next) => table = Arc::new(next),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn time_to_tick(&self) -> Duration {
+        let next = self.core.lock().unwrap().next_deadline();
+        next.map_or(LONGEST_SLEEP, |at| {
+            let left = at.saturating_sub(self.node.clock.now());
+            left.min(LONGEST_SLEEP)
+        })
+    }
+
+    /// Feeds one event to the core, carries out the effects and returns the replies among them,
+    /// which the caller sends.
+    pub fn feed(self: &Arc<Self>, event: Event) -> Vec<Effect> {
+        let deltas = self.deltas_of(&event);
+        let effects = {
+            let mut core = self.core.lock().unwrap();
+            let effects = core.handle(self.node.clock.now(), event);
+            // Published under the lock, so that tables appear in the order of their versions.
+            for effect in &effects {
+                if let Effect::TableChanged(table) = effect {
+                    self.publish(table, &deltas);
+                }
+            }
+            effects
+        };
+        self.wake.notify_one();
+        let mut replies = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::ReplyRenew { .. } | Effect::ReplyExpired { .. } => replies.push(effect),
+                other => self.run(other),
+            }
+        }
+        replies
+    }
+
+    /// Returns the deltas that lead to the table that an event brings, where they are known.
+    fn deltas_of(&self, event: &Event) -> Vec<Delta> {
+        match event {
+            Event::DeltasLearned(deltas) => deltas.clone(),
+            Event::SwapOutcome {
+                change_id,
+                outcome: Outcome::Done,
+            } => {
+                let written = self.written.lock().unwrap().take();
+                let own = written.filter(|delta| delta.change_id == *change_id);
+                own.into_iter().collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn publish(&self, table: &Arc<Table>, deltas: &[Delta]) {
+        let mut history = self.history.lock().unwrap();
+        let before = self.node.table.borrow().clone();
+        let leads_there = deltas.last().is_some_and(|last| last.to == table.version);
+        if leads_there {
+            let newer = deltas.iter().filter(|delta| delta.to > before.version);
+            newer.for_each(|delta| history.push(delta.clone()));
+            self.record_deltas(&before, deltas);
+        } else {
+            history.clear();
+        }
+        self.node.table.send_replace(table.clone());
+    }
+
+    fn run(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::ReplyRenew { .. } | Effect::ReplyExpired { .. } => {}
+            Effect::TableChanged(_) => {}
+            Effect::SendRenew(renewal) => self.spawn(Self::renew, renewal),
+            Effect::SendExpired(expiry) => self.spawn(Self::ask_expired, expiry),
+            Effect::Swap { delta, next } => self.spawn(Self::swap, (delta, next)),
+            Effect::ReadTable { read } => self.spawn(Self::read_table, read),
+            Effect::Pull { from } => self.spawn(Self::pull_from, from),
+            Effect::DrainShard(held) => self.spawn(Self::drain_shard, held),
+            Effect::DrainKey {
+                service,
+                key_hash,
+                epoch,
+            } => self.spawn(Self::drain_key, (service, key_hash, epoch)),
+            Effect::GrantsChanged => self.grants_changed.notify_one(),
+            Effect::Journal(decision) => log::debug!("{}", decision.what),
+            Effect::Joined(session) => {
+                log::info!("joined as session {session}");
+                self.node.session.send_replace(Some(session));
+            }
+            Effect::Ended(session) => {
+                log::warn!("session {session} is no longer in the table");
+                self.node.session.send_replace(None);
+            }
+        }
+    }
+
+    fn spawn<A, F>(self: &Arc<Self>, task: fn(Arc<Self>, A) -> F, argument: A)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        tokio::spawn(task(self.clone(), argument));
+    }
+
+    /// Returns the address of a session in the newest table.
+    pub fn address_of(&self, session: SessionId) -> Option<SocketAddr> {
+        let table = self.node.table.borrow();
+        table.session(session).map(|s| s.address)
+    }
+
+    async fn renew(self: Arc<Self>, renewal: Renewal) {
+        let message = Renew {
+            session: renewal.lessee,
+            term: renewal.term,
+            lessor: renewal.lessor,
+            sequence: renewal.sequence,
+            versions: self.node.versions(),
+        };
+        let timeout = self.node.settings.lease.renew;
+        let reply: Option<RenewReply> = self
+            .call(renewal.lessor, headers::PATH_RENEW, &message, timeout)
+            .await;
+        let lessor = renewal.lessor;
+        let sequence = renewal.sequence;
+        let Some(reply) = reply else {
+            self.feed(Event::RenewTimeout { lessor, sequence });
+            return;
+        };
+        self.feed(Event::RenewReply {
+            lessor,
+            sequence,
+            granted: reply.granted,
+            version: reply.versions.table,
+        });
+        self.compare(lessor, reply.versions);
+    }
+
+    async fn ask_expired(self: Arc<Self>, expiry: Expiry) {
+        let message = Expired {
+            from: expiry.from,
+            lessee: expiry.lessee,
+            term: expiry.term,
+            versions: self.node.versions(),
+        };
+        let timeout = self.node.settings.lease.renew;
+        let reply: Option<ExpiredReply> = self
+            .call(expiry.to, headers::PATH_EXPIRED, &message, timeout)
+            .await;
+        if let Some(reply) = reply {
+            self.feed(Event::ExpiredReply {
+                expiry,
+                committed: reply.committed,
+                version: reply.versions.table,
+            });
+        }
+    }
+
+    /// Sends one control message to a session. Returns `None` when there is no valid answer.
+    pub async fn call<M, R>(
+        &self,
+        to: SessionId,
+        path: &'static str,
+        message: &M,
+        timeout: Duration,
+    ) -> Option<R>
+    where
+        M: serde::Serialize,
+        R: serde::de::DeserializeOwned,
+    {
+        let address = self.address_of(to)?;
+        match self.peers.control(address, path, message, timeout).await {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                log::debug!("{path} to session {to} failed: {e}");
+                None
+            }
+        }
+    }
+
+    async fn swap(self: Arc<Self>, (delta, next): (Delta, Arc<Table>)) {
+        let change_id = delta.change_id;
+        *self.written.lock().unwrap() = Some(delta.clone());
+        let outcome = match self.tables.swap(&next, &delta).await {
+            Swapped::Done => Outcome::Done,
+            Swapped::Conflict(newer) => {
+                if let Some(table) = newer {
+                    self.feed(Event::TableLearned(Arc::new(table)));
+                }
+                Outcome::Conflict
+            }
+            Swapped::Unknown => Outcome::Unknown,
+        };
+        self.feed(Event::SwapOutcome { change_id, outcome });
+        if outcome == Outcome::Done {
+            self.spread(News {
+                origin: self.session(),
+                deltas: vec![delta],
+                ..News::default()
+            });
+        }
+    }
+
+    async fn read_table(self: Arc<Self>, read: u64) {
+        let table = match self.tables.read().await {
+            Ok(table) => Some(Arc::new(table)),
+            Err(e) => {
+                log::warn!("table is not read: {e}");
+                None
+            }
+        };
+        self.feed(Event::TableRead { read, table });
+    }
+
+    /// Pulls from a session that holds something newer.
+    pub(super) fn compare(self: &Arc<Self>, other: SessionId, theirs: Versions) {
+        let own = self.node.versions();
+        if theirs.table > own.table || theirs.config > own.config {
+            self.spawn(Self::pull_from, other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/messages.rs
@@ -0,0 +1,150 @@
+//! Control messages of other daemons: decoding, answering, encoding.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use masticdeal_ownership::lease::{Effect, Event, Expiry, Held, MoveBy, Renewal};
+use masticdeal_wire::codec;
+use masticdeal_wire::headers;
+use masticdeal_wire::peer::{
+    Expired, ExpiredReply, LoadAsk, News, Pull, Release, ReleaseReply, Renew, RenewReply,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::Control;
+
+/// Why a control message has no answer.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// unknown control message {0}
+    UnknownPath(&'static str),
+    /// {0}
+    Codec(codec::Error),
+    /// the daemon has not joined yet
+    NotJoined,
+}
+
+impl std::error::Error for Error {}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl Control {
+    /// Answers one control message. `frame` and the answer are whole frames of [`codec`].
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; a message that is not answered has no effect.
+    pub fn answer(self: &Arc<Self>, path: &'static str, frame: &[u8]) -> Result<Bytes> {
+        match path {
+            headers::PATH_RENEW => encode(&self.on_renew(decode(frame)?)?),
+            headers::PATH_EXPIRED => encode(&self.on_expired(decode(frame)?)?),
+            headers::PATH_DELTA => {
+                let news: News = decode(frame)?;
+                self.learn_news(news);
+                encode(&self.node.versions())
+            }
+            headers::PATH_PULL => {
+                let pull: Pull = decode(frame)?;
+                encode(&self.news_since(pull.have))
+            }
+            headers::PATH_RELEASE => encode(&self.on_release(decode(frame)?)),
+            headers::PATH_LOAD => {
+                let ask: LoadAsk = decode(frame)?;
+                encode(&self.load_report(ask))
+            }
+            other => Err(Error::UnknownPath(other)),
+        }
+    }
+
+    fn on_renew(self: &Arc<Self>, message: Renew) -> Result<RenewReply> {
+        let versions = message.versions;
+        let lessee = message.session;
+        let replies = self.feed(Event::RenewRequest(Renewal {
+            lessee,
+            lessor: message.lessor,
+            term: message.term,
+            sequence: message.sequence,
+            version: versions.table,
+        }));
+        self.compare(lessee, versions);
+        let granted = replies.iter().find_map(|effect| match effect {
+            Effect::ReplyRenew { granted, .. } => Some(*granted),
+            _ => None,
+        });
+        Ok(RenewReply {
+            sequence: message.sequence,
+            granted: granted.ok_or(Error::NotJoined)?,
+            versions: self.node.versions(),
+        })
+    }
+
+    fn on_expired(self: &Arc<Self>, message: Expired) -> Result<ExpiredReply> {
+        let to = self.session().ok_or(Error::NotJoined)?;
+        let replies = self.feed(Event::ExpiredRequest(Expiry {
+            from: message.from,
+            to,
+            lessee: message.lessee,
+            term: message.term,
+            version: message.versions.table,
+        }));
+        self.compare(message.from, message.versions);
+        let committed = replies.iter().find_map(|effect| match effect {
+            Effect::ReplyExpired { committed, .. } => Some(*committed),
+            _ => None,
+        });
+        Ok(ExpiredReply {
+            committed: committed.ok_or(Error::NotJoined)?,
+            versions: self.node.versions(),
+        })
+    }
+
+    /// Starts the move of a shard of this daemon. The owner itself swaps once the shard is
+    /// drained, so that no other daemon can write a late move.
+    pub(super) fn on_release(self: &Arc<Self>, message: Release) -> ReleaseReply {
+        if !self.holds(&message) {
+            return ReleaseReply::NotOwner;
+        }
+        let event = match message.key_hash {
+            None => Event::MoveRequested {
+                held: Held {
+                    service: message.service,
+                    shard: message.shard,
+                    epoch: message.epoch,
+                },
+                to: message.to,
+                by: MoveBy::Owner,
+            },
+            Some(key_hash) => Event::OverrideRequested {
+                service: message.service,
+                key_hash,
+                to: Some(message.to),
+            },
+        };
+        self.feed(event);
+        ReleaseReply::Started
+    }
+
+    fn holds(&self, release: &Release) -> bool {
+        let table = self.node.table.borrow();
+        let Some(service) = table.service(release.service) else {
+            return false;
+        };
+        let own = |hash| service.overrides.iter().find(|o| o.key_hash == hash);
+        let held = match release.key_hash.and_then(own) {
+            Some(own) => Some(&own.shard),
+            None => service.shards.get(release.shard.index()),
+        };
+        held.is_some_and(|s| s.owner == self.session() && s.epoch == release.epoch)
+    }
+}
+
+fn decode<M: DeserializeOwned>(frame: &[u8]) -> Result<M> {
+    codec::decode_frame(frame).map_err(Error::Codec)
+}
+
+fn encode<M: Serialize>(message: &M) -> Result<Bytes> {
+    codec::encode(message).map_err(Error::Codec)
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,126 @@
+//! The control plane of the daemon: it drives the lease core and carries out its effects.
+//!
+//! - [`driver`]: feeds events to the core and runs its effects.
+//! - [`messages`]: control messages of other daemons.
+//! - [`table_store`], [`config_store`]: the two values in the platform's service.
+//! - [`news`]: passes on and pulls what is newer.
+//! - [`watcher`]: watches the platform's service, on a few daemons only.
+//! - [`grants`]: keeps the target's grant current, and takes it back before a move.
+//! - [`target`]: tells the core about the target beside the daemon.
+//! - [`census`]: what every other daemon last reported.
+//! - [`port`], [`commands`]: the operators' port and what it carries out.
+//! - [`election`]: who plans moves.
+//!
+//! Invariants: the published table and configuration never fall back to an older version, and no
+//! shard is granted or served beyond the end of the lease. The checker of the ownership crate runs
+//! on every table before it is published.
+
+pub mod census;
+pub mod commands;
+pub mod config_store;
+pub mod driver;
+pub mod election;
+pub mod grants;
+pub mod messages;
+pub mod news;
+pub mod port;
+pub mod table_store;
+pub mod target;
+pub mod watcher;
+
+use std::sync::{Arc, Mutex};
+
+use masticdeal_ownership::change::Delta;
+use masticdeal_ownership::history::History;
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_ownership::lease::Core;
+use masticdeal_wire::peer::News;
+use tokio::sync::{Notify, watch};
+
+use crate::node::Node;
+use crate::operators::journal::{DEFAULT_BUDGET, Journal};
+use crate::owner::Owner;
+use crate::peers::Peers;
+
+use census::Census;
+use config_store::ConfigStore;
+use table_store::TableStore;
+
+/// The control plane of one daemon.
+pub struct Control {
+    /// Shared state of the daemon.
+    pub node: Arc<Node>,
+    /// Transport to other daemons.
+    pub peers: Arc<Peers>,
+    /// The target's side of the daemon.
+    pub owner: Arc<Owner>,
+    /// The deployment configuration.
+    pub config: ConfigStore,
+    /// The assignment table in the platform's service.
+    pub tables: TableStore,
+    /// Decisions of this daemon and those it learned.
+    pub journal: Mutex<Journal>,
+    core: Arc<Mutex<Core>>,
+    history: Mutex<History>,
+    written: Mutex<Option<Delta>>,
+    census: tokio::sync::Mutex<Census>,
+    planning: watch::Sender<bool>,
+    wake: Notify,
+    grants_changed: Notify,
+    grant_sequence: tokio::sync::Mutex<u64>,
+}
+
+impl Control {
+    /// Puts the parts together. `core` is the one that `node.may_serve` asks.
+    pub fn new(
+        node: Arc<Node>,
+        peers: Arc<Peers>,
+        owner: Arc<Owner>,
+        platform: masticdeal_platform::Client,
+        core: Arc<Mutex<Core>>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            config: ConfigStore::new(node.clone(), platform.clone()),
+            tables: TableStore::new(platform),
+            journal: Mutex::new(Journal::new(unix_ms(), DEFAULT_BUDGET)),
+            history: Mutex::default(),
+            written: Mutex::default(),
+            census: tokio::sync::Mutex::default(),
+            planning: watch::Sender::new(false),
+            wake: Notify::new(),
+            grants_changed: Notify::new(),
+            grant_sequence: tokio::sync::Mutex::new(0),
+            node,
+            peers,
+            owner,
+            core,
+        })
+    }
+
+    /// Returns the session of this daemon, once it has joined.
+    pub fn session(&self) -> Option<SessionId> {
+        *self.node.session.borrow()
+    }
+
+    /// Returns the time for which the lease is still live; `None` without one.
+    pub fn lease_left(&self) -> Option<std::time::Duration> {
+        let until = self.core.lock().unwrap().lease_until()?;
+        until.checked_sub(self.node.clock.now())
+    }
+
+    /// Passes an accepted configuration on to the daemons below this one in the tree.
+    pub fn spread_config(self: &Arc<Self>) {
+        let news = News {
+            origin: self.session(),
+            config: Some(self.config.current()),
+            ..News::default()
+        };
+        self.spread(news);
+    }
+}
+
+/// Returns the Unix time in milliseconds, for people to read; no decision depends on it.
+pub(crate) fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/control/news.rs
@@ -0,0 +1,114 @@
+//! Passes on and pulls what is newer: deltas of the table, and the configuration.
+//!
+//! News travels along a tree of peers; versions in heartbeats and forwarded requests make up for
+//! what the tree missed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_ownership::lease::Event;
+use masticdeal_ownership::tree;
+use masticdeal_wire::headers::{PATH_DELTA, PATH_PULL};
+use masticdeal_wire::peer::{News, Pull, Versions};
+
+use super::Control;
+
+/// Longest wait for a peer that is pulled from, or that news is passed on to.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before the versions that forwarded requests reported are acted on. The tree usually
+/// brings the news within it.
+const REPORT_PAUSE: Duration = Duration::from_millis(20);
+
+impl Control {
+    /// Sends news to this daemon's children in the tree.
+    pub(super) fn spread(self: &Arc<Self>, news: News) {
+        let (Some(origin), Some(me)) = (news.origin, self.session()) else {
+            return;
+        };
+        let children = tree::children(&self.node.table.borrow(), origin, me);
+        let news = Arc::new(news);
+        for child in children {
+            let control = self.clone();
+            let news = news.clone();
+            tokio::spawn(async move {
+                let _: Option<Versions> = control.call(child, PATH_DELTA, &*news, TIMEOUT).await;
+            });
+        }
+    }
+
+    /// Takes over news of a peer and passes it on when anything in it was new.
+    pub(super) fn learn_news(self: &Arc<Self>, news: News) {
+        let before = self.node.versions();
+        if let Some(config) = &news.config {
+            self.config.learn(config);
+        }
+        if let Some(table) = &news.table {
+            self.feed(Event::TableLearned(Arc::new(table.clone())));
+        } else if !news.deltas.is_empty() {
+            self.feed(Event::DeltasLearned(news.deltas.clone()));
+        }
+        if news.origin.is_some() && self.node.versions() != before {
+            self.spread(news);
+        }
+    }
+
+    /// Returns what is newer than `have`.
+    pub(super) fn news_since(&self, have: Versions) -> News {
+        let mut news = News::default();
+        let current = self.config.current();
+        if current.revision > have.config {
+            news.config = Some(current);
+        }
+        let history = self.history.lock().unwrap();
+        let table = self.node.table.borrow();
+        if table.version > have.table {
+            match history.since(have.table, table.version) {
+                Some(deltas) => news.deltas = deltas,
+                None => news.table = Some((**table).clone()),
+            }
+        }
+        news
+    }
+
+    /// Pulls what is newer from one session.
+    pub(super) async fn pull_from(self: Arc<Self>, from: SessionId) {
+        let pull = Pull {
+            have: self.node.versions(),
+        };
+        let news: Option<News> = self.call(from, PATH_PULL, &pull, TIMEOUT).await;
+        if let Some(news) = news {
+            self.learn_news(news);
+        }
+    }
+
+    /// Acts on versions that forwarded requests reported, until the task is dropped.
+    pub async fn follow_reports(self: Arc<Self>) {
+        let mut reported = self.node.reported.subscribe();
+        while reported.changed().await.is_ok() {
+            tokio::time::sleep(REPORT_PAUSE).await;
+            let theirs = *reported.borrow_and_update();
+            let own = self.node.versions();
+            if theirs.table > own.table || theirs.config > own.config {
+                self.pull_from_any().await;
+            }
+        }
+    }
+
+    /// Pulls from a lessor, or from any other session.
+    async fn pull_from_any(self: &Arc<Self>) {
+        let Some(me) = self.session() else {
+            return;
+        };
+        let from = {
+            let table = self.node.table.borrow();
+            let lessors = table.session(me).map(|s| s.lessors.clone());
+            let others = table.sessions.iter().map(|s| s.id).filter(|id| *id != me);
+            lessors.into_iter().flatten().chain(others).next()
+        };
+        if let Some(from) = from {
+            self.clone().pull_from(from).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/port.rs
@@ -0,0 +1,354 @@
+//! The operators' port: questions and commands, the configuration, status, health and metrics.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{ACCEPT, AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::diff;
+use masticdeal_config::fault::Fault;
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_wire::headers;
+use masticdeal_wire::peer::ConfigValue;
+use serde_json::json;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+use super::Control;
+use super::census::Heard;
+use super::config_store::{Error, Proposal};
+use crate::operators::answer::{Answer, Reply, reply};
+use crate::operators::facts::{Facts, Load, Peer};
+use crate::operators::subject::Subject;
+
+/// Connections of operators at the same time.
+const CONNECTIONS: usize = 256;
+
+/// Largest body of a request in bytes; a configuration of the largest size fits.
+const MAX_BODY_BYTES: usize = 512 << 10;
+
+/// Longest wait for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest wait for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Header that carries the subject of the last question.
+const SUBJECT: &str = "x-masticdeal-subject";
+
+/// Header with the Unix time of a configuration in milliseconds.
+const TIME_MS: &str = "x-time-ms";
+
+type Out = Response<Full<Bytes>>;
+
+impl Control {
+    /// Serves the operators' port until the task is dropped.
+    pub async fn serve_operators(self: Arc<Self>, listener: TcpListener) {
+        let bound = Arc::new(Semaphore::new(CONNECTIONS));
+        loop {
+            let Ok(permit) = bound.clone().acquire_owned().await else {
+                return;
+            };
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("operators' port cannot accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            let control = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|req| {
+                    let control = control.clone();
+                    async move { Ok::<_, Infallible>(control.operator_request(req).await) }
+                });
+                let served = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(HEAD_TIMEOUT)
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+                if let Err(e) = served {
+                    log::debug!("operator's connection ended: {e}");
+                }
+                drop(permit);
+            });
+        }
+    }
+
+    async fn operator_request(self: Arc<Self>, req: Request<Incoming>) -> Out {
+        let (head, body) = req.into_parts();
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/healthz") => return text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => return self.ready(),
+            (&Method::GET, "/metrics") => return text(StatusCode::OK, self.node.metrics.encode()),
+            _ => {}
+        }
+        if !self.is_operator(&head.headers) {
+            return text(
+                StatusCode::UNAUTHORIZED,
+                "operators' secret is missing or wrong\n",
+            );
+        }
+        let read = Limited::new(body, MAX_BODY_BYTES).collect();
+        let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                return text(StatusCode::PAYLOAD_TOO_LARGE, "body exceeds 524288 bytes\n");
+            }
+            Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "body did not arrive in time\n"),
+        };
+        let Ok(body) = String::from_utf8(body.to_vec()) else {
+            return text(StatusCode::BAD_REQUEST, "body is not UTF-8\n");
+        };
+        match (&head.method, head.uri.path()) {
+            (&Method::POST, headers::PATH_ASK) => self.ask(&head.headers, &body).await,
+            (&Method::GET, headers::PATH_CONFIG) => config_answer(&self.config.current()),
+            (&Method::PUT, headers::PATH_CONFIG) => self.put_config(&head.headers, body).await,
+            (&Method::GET, headers::PATH_STATUS) => self.status().await,
+            (_, headers::PATH_ASK | headers::PATH_CONFIG | headers::PATH_STATUS) => text(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method is not allowed here\n",
+            ),
+            _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    fn is_operator(&self, map: &HeaderMap) -> bool {
+        let expected = format!("Bearer {}", self.node.settings.secret.operators);
+        let given = map
+            .get(AUTHORIZATION)
+            .map_or(&b""[..], HeaderValue::as_bytes);
+        bool::from(given.ct_eq(expected.as_bytes()))
+    }
+
+    /// A daemon is ready when it has joined, its lease is live and a configuration is in force.
+    fn ready(&self) -> Out {
+        let missing = if *self.node.draining.borrow() {
+            Some("shutting down")
+        } else if self.session().is_none() {
+            Some("not joined")
+        } else if self.lease_left().is_none() {
+            Some("no live lease")
+        } else if self.node.deployment.borrow().0 == 0 {
+            Some("no configuration")
+        } else {
+            None
+        };
+        match missing {
+            None => text(StatusCode::OK, "ready\n"),
+            Some(why) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{why}\n")),
+        }
+    }
+
+    async fn ask(self: &Arc<Self>, map: &HeaderMap, line: &str) -> Out {
+        let last = map
+            .get(SUBJECT)
+            .and_then(|v| v.to_str().ok())
+            .and_then(Subject::from_header);
+        let census = self.census().await;
+        let answer = match self.reply(line, &census, last.as_ref()) {
+            Reply::Answer(answer) => answer,
+            Reply::Command(command) => {
+                let author = header(map, headers::AUTHOR).unwrap_or("unnamed operator");
+                let outcome = self.run_command(&command, author).await;
+                command.answer(&outcome)
+            }
+        };
+        let wants_json = map
+            .get(ACCEPT)
+            .is_some_and(|v| v.as_bytes().starts_with(b"application/json"));
+        answer_response(&answer, wants_json)
+    }
+
+    fn reply(
+        &self,
+        line: &str,
+        census: &HashMap<SessionId, Heard>,
+        last: Option<&Subject>,
+    ) -> Reply {
+        let now = self.node.clock.now();
+        let loads: Vec<Load> = census
+            .iter()
+            .map(|(session, heard)| Load {
+                session: *session,
+                load: heard.report.load,
+                age: now.saturating_sub(heard.at),
+            })
+            .collect();
+        let peers: Vec<Peer> = census
+            .iter()
+            .map(|(session, heard)| Peer {
+                session: *session,
+                versions: heard.report.versions,
+                heard: now.saturating_sub(heard.at),
+            })
+            .collect();
+        let table = self.node.table.borrow().clone();
+        let deployment = self.node.deployment.borrow().1.clone();
+        let config = self.config.current();
+        let journal = self.journal.lock().unwrap();
+        let facts = Facts {
+            now_ms: super::unix_ms(),
+            name: &self.node.settings.daemon.name,
+            table: &table,
+            deployment: &deployment,
+            config: &config,
+            journal: &journal,
+            loads: &loads,
+            peers: &peers,
+        };
+        reply(line, &facts, last)
+    }
+
+    async fn put_config(self: &Arc<Self>, map: &HeaderMap, body: String) -> Out {
+        let Some(expect) = number(map, headers::IF_REVISION) else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "x-if-revision is missing or not a number\n",
+            );
+        };
+        let Some(change_id) = number(map, headers::CHANGE_ID) else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "x-change-id is missing or not a number\n",
+            );
+        };
+        let Some(author) = header(map, headers::AUTHOR) else {
+            return text(StatusCode::BAD_REQUEST, "x-author is missing\n");
+        };
+        let proposal = Proposal {
+            expect,
+            author: author.into(),
+            time_ms: super::unix_ms(),
+            change_id,
+            text: body,
+        };
+        match self.propose_config(&proposal).await {
+            Ok(value) => with_revision(text(StatusCode::OK, "accepted\n"), value.revision),
+            Err(Error::Faults(faults)) => faults_response(&faults),
+            Err(Error::Conflict(current)) => conflict_response(&proposal.text, &current),
+            Err(e @ Error::Unavailable(_)) => {
+                text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n"))
+            }
+        }
+    }
+
+    async fn status(self: &Arc<Self>) -> Out {
+        let census = self.census().await;
+        let table = self.node.table.borrow().clone();
+        let revision_of = |id| census.get(&id).map(|h| h.report.versions.config);
+        let peers: Vec<_> = table
+            .sessions
+            .iter()
+            .map(|s| {
+                json!({
+                    "name": s.vm,
+                    "data_centre": s.data_centre,
+                    "config_revision": revision_of(s.id),
+                })
+            })
+            .collect();
+        let owned = self.core.lock().unwrap().owned().len();
+        let versions = self.node.versions();
+        let lease_ms = self.lease_left().map(|left| left.as_millis() as u64);
+        let status = json!({
+            "name": self.node.settings.daemon.name,
+            "session": self.session().map(|s| s.0),
+            "table_version": versions.table,
+            "config_revision": versions.config,
+            "lease": if lease_ms.is_some() { "live" } else { "none" },
+            "lease_left_ms": lease_ms,
+            "shards_owned": owned,
+            "planner": *self.planning.borrow(),
+            "peers": peers,
+        });
+        json_response(StatusCode::OK, &status)
+    }
+}
+
+fn header<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    map.get(name)?.to_str().ok()
+}
+
+fn number(map: &HeaderMap, name: &str) -> Option<u64> {
+    header(map, name)?.parse().ok()
+}
+
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Out {
+    let mut out = Response::new(Full::new(body.into()));
+    *out.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    out.headers_mut().insert(CONTENT_TYPE, plain);
+    out
+}
+
+fn json_response(status: StatusCode, value: &serde_json::Value) -> Out {
+    let mut out = text(status, value.to_string());
+    let kind = HeaderValue::from_static("application/json");
+    out.headers_mut().insert(CONTENT_TYPE, kind);
+    out
+}
+
+fn with_revision(mut out: Out, revision: u64) -> Out {
+    out.headers_mut().insert(headers::REVISION, revision.into());
+    out
+}
+
+fn config_answer(current: &ConfigValue) -> Out {
+    let mut out = with_revision(text(StatusCode::OK, current.text.clone()), current.revision);
+    let map = out.headers_mut();
+    map.insert(headers::CHANGE_ID, current.change_id.into());
+    map.insert(TIME_MS, current.time_ms.into());
+    if let Ok(author) = HeaderValue::from_str(&current.author) {
+        map.insert(headers::AUTHOR, author);
+    }
+    out
+}
+
+fn faults_response(faults: &[Fault]) -> Out {
+    let value = serde_json::to_value(faults).unwrap_or_default();
+    json_response(StatusCode::BAD_REQUEST, &value)
+}
+
+fn conflict_response(proposed: &str, current: &ConfigValue) -> Out {
+    let differences = match (
+        Deployment::parse(proposed),
+        Deployment::parse(&current.text),
+    ) {
+        (Ok(proposed), Ok(current)) => diff::diff(&proposed, &current),
+        _ => Vec::new(),
+    };
+    let differences: Vec<String> = differences.iter().map(ToString::to_string).collect();
+    let body = json!({
+        "author": current.author,
+        "time_ms": current.time_ms,
+        "change_id": current.change_id,
+        "differences": differences,
+    });
+    with_revision(json_response(StatusCode::CONFLICT, &body), current.revision)
+}
+
+fn answer_response(answer: &Answer, wants_json: bool) -> Out {
+    let status = StatusCode::from_u16(answer.status.code()).unwrap_or(StatusCode::OK);
+    let mut out = if wants_json {
+        json_response(status, &answer.json)
+    } else {
+        text(status, format!("{}\n", answer.text))
+    };
+    let subject = answer.subject.as_ref().map(Subject::to_header);
+    if let Some(value) = subject.and_then(|s| HeaderValue::from_str(&s).ok()) {
+        out.headers_mut().insert(SUBJECT, value);
+    }
+    out
+}
--- /dev/null
+++ b/crates/daemon/src/control/table_store.rs
@@ -0,0 +1,142 @@
+//! The assignment table in the platform's service: reading it, and swapping one version for the
+//! next.
+//!
+//! The table counts its versions itself, while the service compares its own revision of the key.
+//! The store remembers which revision holds which version, so that a swap usually needs no read.
+
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use masticdeal_ownership::change::Delta;
+use masticdeal_ownership::table::{self, Table};
+use masticdeal_platform::{Client, Value, Written};
+use masticdeal_wire::headers::KEY_TABLE;
+
+/// Why the table cannot be read.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// the platform's service does not answer: {0}
+    Unavailable(masticdeal_platform::Error),
+    /// the stored table cannot be read: {0}
+    Malformed(table::CodecError),
+}
+
+impl std::error::Error for Error {}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Outcome of one swap.
+#[derive(Debug)]
+pub enum Swapped {
+    /// The swap took effect.
+    Done,
+    /// The table stands at another version, given here when it could be read.
+    Conflict(Option<Table>),
+    /// No answer: the swap may have taken effect, or may yet.
+    Unknown,
+}
+
+/// Which revision of the service holds which version of the table.
+#[derive(Debug, Clone, Copy)]
+struct Stored {
+    version: u64,
+    revision: u64,
+}
+
+/// The assignment table in the platform's service.
+pub struct TableStore {
+    platform: Client,
+    stored: Mutex<Option<Stored>>,
+}
+
+impl TableStore {
+    /// Makes a store; it calls the service only when asked.
+    pub fn new(platform: Client) -> Self {
+        Self {
+            platform,
+            stored: Mutex::new(None),
+        }
+    }
+
+    /// Returns the newest revision that this daemon has seen; 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.stored.lock().unwrap().map_or(0, |s| s.revision)
+    }
+
+    /// Reads the table; an empty table of version 0 when there is none yet.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn read(&self) -> Result<Table> {
+        let found = self.platform.get(KEY_TABLE).await;
+        match found.map_err(Error::Unavailable)? {
+            Some(value) => self.learn(&value),
+            None => {
+                self.remember(0, 0);
+                Ok(Table::default())
+            }
+        }
+    }
+
+    /// Decodes a value that was read or watched.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`].
+    pub fn learn(&self, value: &Value) -> Result<Table> {
+        let table = table::decode(&value.bytes).map_err(Error::Malformed)?;
+        self.remember(table.version, value.revision);
+        Ok(table)
+    }
+
+    /// Replaces the table of the version before `next` by `next`, which `delta` made of it.
+    pub async fn swap(&self, next: &Table, delta: &Delta) -> Swapped {
+        let base = delta.to - 1;
+        let Some(revision) = self.revision_of(base).await else {
+            return Swapped::Conflict(self.read().await.ok());
+        };
+        let bytes = match table::encode(next) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(e) => {
+                log::error!("table version {} cannot be written: {e}", next.version);
+                return Swapped::Conflict(None);
+            }
+        };
+        match self.platform.swap(KEY_TABLE, revision, bytes, None).await {
+            Written::Done(revision) => {
+                self.remember(next.version, revision);
+                Swapped::Done
+            }
+            Written::Conflict(_) => Swapped::Conflict(self.read().await.ok()),
+            Written::Unknown(e) => {
+                log::warn!("answer to the swap of table version {base} is lost: {e}");
+                Swapped::Unknown
+            }
+        }
+    }
+
+    /// Returns the service's revision of a version of the table, or `None` when the table stands
+    /// at another version or the service does not answer.
+    async fn revision_of(&self, version: u64) -> Option<u64> {
+        let known = *self.stored.lock().unwrap();
+        if let Some(stored) = known
+            && stored.version == version
+        {
+            return Some(stored.revision);
+        }
+        let table = self.read().await.ok()?;
+        let stored = (*self.stored.lock().unwrap())?;
+        (table.version == version).then_some(stored.revision)
+    }
+
+    /// Remembers a revision. Answers may arrive out of order, so only a newer one counts.
+    fn remember(&self, version: u64, revision: u64) {
+        let mut stored = self.stored.lock().unwrap();
+        if stored.is_none_or(|s| s.revision <= revision) {
+            *stored = Some(Stored { version, revision });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/target.rs
@@ -0,0 +1,102 @@
+//! Tells the core about the target beside the daemon: its announcements, its measured capacity,
+//! and whether an operator took it away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_ownership::lease::{Declared, Event, TargetReport};
+use masticdeal_ownership::table::TargetState;
+use masticdeal_wire::target::{Announce, AnnouncedState};
+
+use super::Control;
+
+/// Time between two looks at the measured capacity.
+const MEASURE: Duration = Duration::from_secs(60);
+
+/// Change of the measured capacity, as a share, below which the table is not rewritten. Each
+/// report costs a swap of the table.
+const CAPACITY_STEP: f64 = 0.5;
+
+impl Control {
+    /// Reports the target to the core until the task is dropped.
+    pub async fn follow_target(self: Arc<Self>) {
+        let mut target = self.node.target.subscribe();
+        let mut deployment = self.node.deployment.subscribe();
+        let mut capacity = 0;
+        loop {
+            capacity = self.measured_capacity(capacity);
+            let announce = target.borrow_and_update().clone();
+            deployment.borrow_and_update();
+            let report = announce.map(|a| self.report(&a, capacity));
+            self.feed(Event::TargetChanged(report));
+            let ended = tokio::select! {
+                changed = target.changed() => changed.is_err(),
+                changed = deployment.changed() => changed.is_err(),
+                () = tokio::time::sleep(MEASURE) => false,
+            };
+            if ended {
+                return;
+            }
+        }
+    }
+
+    /// Declares the services of each new configuration to the core, until the task is dropped.
+    pub async fn follow_services(self: Arc<Self>) {
+        let mut deployment = self.node.deployment.subscribe();
+        loop {
+            let declared = {
+                let current = deployment.borrow_and_update();
+                let services = current.1.services.iter().map(|s| Declared {
+                    name: s.name.clone(),
+                    shards: s.shards,
+                });
+                services.collect()
+            };
+            self.feed(Event::ServicesDeclared(declared));
+            if deployment.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether an operator took this VM away.
+    pub(super) fn is_away(&self) -> bool {
+        let deployment = self.node.deployment.borrow();
+        let name = &self.node.settings.daemon.name;
+        deployment.1.rules.away.contains(name)
+    }
+
+    fn measured_capacity(&self, reported: u32) -> u32 {
+        let measured = self.owner.service_rate();
+        let change = (measured - f64::from(reported)).abs();
+        if change > CAPACITY_STEP * f64::from(reported) {
+            measured.round() as u32
+        } else {
+            reported
+        }
+    }
+
+    fn report(&self, announce: &Announce, capacity: u32) -> TargetReport {
+        let state = match announce.state {
+            AnnouncedState::Starting => TargetState::Away,
+            AnnouncedState::Draining => TargetState::Draining,
+            AnnouncedState::Ready if self.is_away() => TargetState::Draining,
+            AnnouncedState::Ready => TargetState::Ready,
+        };
+        // The setting of the service decides; a target that says it does not check overrides it.
+        let expected = self
+            .node
+            .deployment
+            .borrow()
+            .1
+            .service(&announce.service)
+            .is_some_and(|s| s.targets_check_grants);
+        TargetReport {
+            service: announce.service.clone(),
+            slots: announce.slots,
+            checks_grants: expected && announce.checks_grants,
+            state,
+            capacity,
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,9 @@
 //! The masticdeal daemon as a library: the binary wires the modules, the tests use them alone.
 //!
 //! - [`clock`]: the boot-time clock, passed in as an interface.
+//! - [`meter`]: requests per shard and key.
 //! - [`node`]: state that all parts share.
+//! - [`control`]: lease, table, configuration and planner.
 //! - [`exchange`]: one request and its outcome.
 //! - [`peers`]: h2 between daemons.
 //! - [`owner`]: queue in front of the target, the target's client, the announce port.
@@ -9,7 +11,9 @@
 //! - [`telemetry`]: logs, metrics, traces.
 
 pub mod clock;
+pub mod control;
 pub mod exchange;
+pub mod meter;
 pub mod node;
 pub mod operators;
 pub mod owner;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,6 +16,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::meter::Meter;
 use crate::telemetry::Metrics;
 
 /// Decides whether this daemon may serve a shard, or a single key of it, at this moment.
@@ -44,6 +45,8 @@
     pub draining: watch::Sender<bool>,
     /// Ownership decision of the control plane.
     pub may_serve: MayServe,
+    /// Requests per shard and key.
+    pub meter: Meter,
     /// Metrics.
     pub metrics: Metrics,
     /// Requests in progress at this daemon, up to the last byte of their answers.
@@ -65,6 +68,7 @@
             reported: watch::Sender::new(Versions::default()),
             draining: watch::Sender::new(false),
             may_serve,
+            meter: Meter::default(),
             metrics: Metrics::new(),
             in_progress: TaskTracker::new(),
             closing: watch::Sender::new(false),
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -38,7 +38,10 @@
 impl Admission {
     /// Makes an admission without slots.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node, inner: Mutex::default() })
+        Arc::new(Self {
+            node,
+            inner: Mutex::default(),
+        })
     }
 
     /// Waits for a slot of the target until the deadline, a time since boot.
@@ -56,7 +59,10 @@
         self.dispatch();
         let slot = timeout(deadline.saturating_sub(start), rx).await;
         entry.left = true;
-        observe(&self.node.metrics.queue_time, self.node.clock.now().saturating_sub(start));
+        observe(
+            &self.node.metrics.queue_time,
+            self.node.clock.now().saturating_sub(start),
+        );
         match slot {
             Ok(Ok(slot)) => Ok(slot),
             Ok(Err(_)) => Err(Failure::not_run(Reason::TargetAway)),
@@ -74,13 +80,23 @@
         let mut inner = self.lock();
         if inner.waiting.len() >= queue_length && inner.running >= inner.slots {
             let retry_after = Some(inner.wait());
-            return Err(Failure { retry_after, ..Failure::not_run(Reason::QueueFull) });
+            return Err(Failure {
+                retry_after,
+                ..Failure::not_run(Reason::QueueFull)
+            });
         }
         let (tx, rx) = oneshot::channel();
         let id = inner.next;
         inner.next += 1;
         inner.waiting.push_back(Waiting { id, tx });
-        Ok((Entry { admission: Arc::clone(self), id, left: false }, rx))
+        Ok((
+            Entry {
+                admission: Arc::clone(self),
+                id,
+                left: false,
+            },
+            rx,
+        ))
     }
 
     /// Sets the number of slots; 0 refuses everything that waits.
@@ -88,7 +104,11 @@
         let refused = {
             let mut inner = self.lock();
             inner.slots = slots;
-            if slots == 0 { std::mem::take(&mut inner.waiting) } else { VecDeque::new() }
+            if slots == 0 {
+                std::mem::take(&mut inner.waiting)
+            } else {
+                VecDeque::new()
+            }
         };
         drop(refused);
         self.dispatch();
@@ -107,7 +127,11 @@
     /// Returns the measured capacity in requests per second; 0 while nothing is measured.
     pub fn service_rate(&self) -> f64 {
         let inner = self.lock();
-        if inner.service_s > 0.0 { inner.slots as f64 / inner.service_s } else { 0.0 }
+        if inner.service_s > 0.0 {
+            inner.slots as f64 / inner.service_s
+        } else {
+            0.0
+        }
     }
 
     fn dispatch(self: &Arc<Self>) {
@@ -126,7 +150,11 @@
         let waiting = inner.waiting.pop_front()?;
         inner.running += 1;
         let started = self.node.clock.now();
-        let slot = Slot { admission: Arc::clone(self), started, measured: false };
+        let slot = Slot {
+            admission: Arc::clone(self),
+            started,
+            measured: false,
+        };
         Some((waiting.tx, slot))
     }
 
@@ -183,7 +211,11 @@
             inner.running -= 1;
             if self.measured {
                 let newest = time.as_secs_f64();
-                let old = if inner.service_s > 0.0 { inner.service_s } else { newest };
+                let old = if inner.service_s > 0.0 {
+                    inner.service_s
+                } else {
+                    newest
+                };
                 inner.service_s = old + SMOOTHING * (newest - old);
             }
         }
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -15,10 +15,10 @@
 
 use std::sync::Arc;
 
+use futures_util::FutureExt;
 use masticdeal_ownership::ids::{ServiceId, ShardId};
 use masticdeal_wire::peer::{LoadHint, Reason};
-use masticdeal_wire::target::{AnnouncedState, Announce};
-use futures_util::FutureExt;
+use masticdeal_wire::target::{Announce, AnnouncedState};
 
 pub use announce::serve as serve_announce;
 pub use grant::Error as GrantError;
@@ -64,10 +64,16 @@
         match self.run(request).await {
             Ok(answer) => Outcome::Answer(answer),
             Err(failure) => {
-                let reason = ByReason { reason: failure.reason.as_str() };
+                let reason = ByReason {
+                    reason: failure.reason.as_str(),
+                };
                 self.node.metrics.refusals.get_or_create(&reason).inc();
                 let (versions, load) = (self.node.versions(), self.load());
-                Outcome::Failed(Failure { versions, load, ..failure })
+                Outcome::Failed(Failure {
+                    versions,
+                    load,
+                    ..failure
+                })
             }
         }
     }
@@ -116,10 +122,13 @@
 async fn follow(node: Arc<Node>, admission: Arc<Admission>) {
     let mut target = node.target.subscribe();
     loop {
-        let slots = target.borrow_and_update().as_ref().map_or(0, |t| match t.state {
-            AnnouncedState::Ready => usize::from(t.slots),
-            AnnouncedState::Starting | AnnouncedState::Draining => 0,
-        });
+        let slots = target
+            .borrow_and_update()
+            .as_ref()
+            .map_or(0, |t| match t.state {
+                AnnouncedState::Ready => usize::from(t.slots),
+                AnnouncedState::Starting | AnnouncedState::Draining => 0,
+            });
         admission.set_slots(slots);
         if target.changed().await.is_err() {
             return;
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -59,7 +59,9 @@
 
 impl Right {
     fn epoch(&self) -> Result<Option<Epoch>, Failure> {
-        let Some((shard, key_hash)) = self.key else { return Ok(None) };
+        let Some((shard, key_hash)) = self.key else {
+            return Ok(None);
+        };
         let epoch = (self.node.may_serve)(self.service, shard, key_hash);
         epoch.map(Some).map_err(Failure::not_run)
     }
@@ -67,18 +69,34 @@
 
 impl Owner {
     pub(super) async fn run(&self, request: Request) -> Result<Answer, Failure> {
-        let Request { head, body, deadline } = request;
+        let Request {
+            head,
+            body,
+            deadline,
+        } = request;
         let hop = Hop::start("owner", &head.traceparent);
         let key = head.shard.zip(head.key_hash);
-        let right = Right { node: Arc::clone(&self.node), service: head.service, key };
+        let right = Right {
+            node: Arc::clone(&self.node),
+            service: head.service,
+            key,
+        };
         // Counted before the first check, so that a move that waits for the shard sees every
         // request that passed the check.
-        let shard = head.shard.map(|shard| self.shards.enter(head.service, shard));
+        let shard = head
+            .shard
+            .map(|shard| self.shards.enter(head.service, shard));
         let slot = self.admit(&head, &right, deadline).await?;
         let target = self.ready_target(head.service)?;
         let epoch = right.epoch()?;
         let request = build(&head, body, epoch, &target.address, &hop)?;
-        let job = Job { owner: self, right, epoch, address: target.address, deadline };
+        let job = Job {
+            owner: self,
+            right,
+            epoch,
+            address: target.address,
+            deadline,
+        };
         job.run(request, slot, shard).await
     }
 
@@ -105,7 +123,11 @@
         let table = self.node.table.borrow();
         let deployment = self.node.deployment.borrow();
         let name = table.service(service).map(|s| s.name.as_str());
-        let declared = deployment.1.services.iter().find(|s| Some(s.name.as_str()) == name);
+        let declared = deployment
+            .1
+            .services
+            .iter()
+            .find(|s| Some(s.name.as_str()) == name);
         declared.map_or(limit, |s| s.queue_length.min(limit))
     }
 }
@@ -149,13 +171,22 @@
                     self.owner.health.answered();
                     let pool = Arc::clone(&self.owner.pool);
                     let node = Arc::clone(node);
-                    let running = Running { node, pool, connection, slot, shard };
+                    let running = Running {
+                        node,
+                        pool,
+                        connection,
+                        slot,
+                        shard,
+                    };
                     return self.answer(response, running);
                 }
                 Err(failed) => failed,
             };
             if connection.gate.has_refused() {
-                return Err(self.check().err().unwrap_or(Failure::not_run(Reason::Deadline)));
+                return Err(self
+                    .check()
+                    .err()
+                    .unwrap_or(Failure::not_run(Reason::Deadline)));
             }
             let unwritten = connection.counts.written() == written;
             let mut failed = failed;
@@ -218,9 +249,17 @@
         }
         let status = response.status().as_u16();
         let headers = end_to_end(response.headers());
-        let headers = headers.into_iter().filter(|(name, _)| !is_internal(name)).collect();
+        let headers = headers
+            .into_iter()
+            .filter(|(name, _)| !is_internal(name))
+            .collect();
         let body = TargetBody::new(response.into_body(), running).boxed_unsync();
-        Ok(Answer { status, headers, body, load: self.owner.load() })
+        Ok(Answer {
+            status,
+            headers,
+            body,
+            load: self.owner.load(),
+        })
     }
 }
 
@@ -247,15 +286,23 @@
 /// Returns the failure when the target itself says that it did not run the request.
 fn refusal(response: &http::Response<Incoming>) -> Option<Failure> {
     let status = response.status();
-    let refused = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::PRECONDITION_FAILED];
+    let refused = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::PRECONDITION_FAILED,
+    ];
     let verdict = response.headers().get(headers::VERDICT)?.to_str().ok()?;
     if !refused.contains(&status) || Verdict::parse(verdict) != Some(Verdict::NotRun) {
         return None;
     }
     let retry_after = response.headers().get(http::header::RETRY_AFTER);
-    let seconds = retry_after.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+    let seconds = retry_after
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok());
     let retry_after = seconds.map(Duration::from_secs);
-    Some(Failure { retry_after, ..Failure::not_run(Reason::TargetRefused) })
+    Some(Failure {
+        retry_after,
+        ..Failure::not_run(Reason::TargetRefused)
+    })
 }
 
 /// Returns whether a cut answer can be told from a whole one. An answer that ends with the
@@ -280,8 +327,7 @@
 ) -> Result<http::Request<Body>, Failure> {
     let malformed = || Failure::not_run(Reason::Malformed);
     let mut request = http::Request::new(body);
-    *request.method_mut() =
-        Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
+    *request.method_mut() = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
     *request.uri_mut() = Uri::try_from(head.path.as_str()).map_err(|_| malformed())?;
     let mut map = to_header_map(&head.headers).map_err(|_| malformed())?;
     let text = |text: &str| HeaderValue::try_from(text).map_err(|_| malformed());
@@ -299,5 +345,8 @@
 }
 
 fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
-    headers.insert(headers::DEADLINE_MS, HeaderValue::from(to_wire_ms(remaining)));
+    headers.insert(
+        headers::DEADLINE_MS,
+        HeaderValue::from(to_wire_ms(remaining)),
+    );
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -71,6 +71,28 @@
     decode_body(&body).map(Some)
 }
 
+/// Decodes one whole frame, prefix included.
+///
+/// # Errors
+///
+/// As [`decode`]; [`Error::Malformed`] also when the frame is cut.
+pub fn decode_frame<M: DeserializeOwned>(frame: &[u8]) -> Result<M> {
+    let (prefix, body) = frame
+        .split_first_chunk::<PREFIX_BYTES>()
+        .ok_or_else(|| Error::Malformed("frame without a length".into()))?;
+    let length = u32::from_be_bytes(*prefix) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(Error::TooLong(length));
+    }
+    if body.len() < length {
+        return Err(Error::Malformed("frame is cut".into()));
+    }
+    if body.len() > length {
+        return Err(Error::TrailingBytes(body.len() - length));
+    }
+    decode_body(body)
+}
+
 /// Decodes a message without its prefix.
 ///
 /// # Errors
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -53,6 +53,17 @@
 pub const PATH_PULL: &str = "/pull";
 /// Peer to peer: asks an owner to release a shard for a planned move.
 pub const PATH_RELEASE: &str = "/release";
+/// Peer to peer: asks for the load of a daemon's shards and keys.
+pub const PATH_LOAD: &str = "/load";
+/// Paths of all control messages between peers.
+pub const CONTROL_PATHS: [&str; 6] = [
+    PATH_RENEW,
+    PATH_EXPIRED,
+    PATH_DELTA,
+    PATH_PULL,
+    PATH_RELEASE,
+    PATH_LOAD,
+];
 /// Peer to peer: one request of a caller.
 pub const PATH_FORWARD: &str = "/forward";
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -95,17 +95,21 @@
     pub time_ms: u64,
     /// Names the attempt.
     pub change_id: u64,
+    /// Change ids of the changes before it, oldest first, for authors who lost the answer.
+    pub recent: Vec<u64>,
     /// The INI text.
     pub text: String,
 }
 
-/// Asks an owner to release a shard, so that it can be moved.
+/// Asks an owner to release a shard or a key, so that it can be moved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
     /// The service.
     pub service: ServiceId,
-    /// The shard.
+    /// The shard, or the shard of the key.
     pub shard: ShardId,
+    /// xxh3 hash of the key, to move the key alone.
+    pub key_hash: Option<u64>,
     /// The epoch under which the owner holds it.
     pub epoch: Epoch,
     /// The session that is to own it next.
@@ -115,12 +119,34 @@
 /// Answers [`Release`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReleaseReply {
-    /// The owner no longer serves the shard under that epoch.
-    Released,
+    /// The owner drains the shard and then swaps the move itself.
+    Started,
     /// The owner does not hold the shard under that epoch.
     NotOwner,
-    /// Running work did not finish in time; the owner goes on serving.
-    Busy,
+}
+
+/// Asks a daemon for the load of what it owns.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadAsk {
+    /// What the sender holds.
+    pub versions: Versions,
+}
+
+/// Answers [`LoadAsk`]. Rates are requests per second, smoothed.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Load of the target.
+    pub load: LoadHint,
+    /// Measured capacity in requests per second; 0 while it is not yet measured.
+    pub capacity: f32,
+    /// All requests for the target.
+    pub rate: f32,
+    /// Rate of each shard with any requests.
+    pub shards: Vec<(ShardId, f32)>,
+    /// Shard, hash and rate of the hottest keys.
+    pub keys: Vec<(ShardId, u64, f32)>,
+    /// What the daemon holds.
+    pub versions: Versions,
 }
 
 /// Head of a forwarded request. The body of the request follows in the same stream.
