--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -114,12 +114,16 @@
 
 /// Returns a body without bytes.
 pub fn empty() -> Body {
-    http_body_util::Empty::new().map_err(|never| match never {}).boxed_unsync()
+    http_body_util::Empty::new()
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Returns a body of these bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    http_body_util::Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+    http_body_util::Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), and `expect`, which the
@@ -163,8 +167,12 @@
     let mut map = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let parsed = HeaderName::try_from(name.as_str());
-        let Ok(key) = parsed else { return Err(name.clone()) };
-        let Ok(value) = HeaderValue::from_bytes(value) else { return Err(name.clone()) };
+        let Ok(key) = parsed else {
+            return Err(name.clone());
+        };
+        let Ok(value) = HeaderValue::from_bytes(value) else {
+            return Err(name.clone());
+        };
         map.append(key, value);
     }
     Ok(map)
@@ -172,5 +180,8 @@
 
 /// Rounds a remaining time up to whole milliseconds, the unit of the wire.
 pub fn to_wire_ms(remaining: Duration) -> u32 {
-    remaining.as_micros().div_ceil(1_000).min(u128::from(u32::MAX)) as u32
+    remaining
+        .as_micros()
+        .div_ceil(1_000)
+        .min(u128::from(u32::MAX)) as u32
 }
--- /dev/null
+++ b/crates/daemon/src/ingress/balance.rs
@@ -0,0 +1,279 @@
+//! Per service: the retry budget, and for services that are not divided by key the choice of a
+//! target.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use masticdeal_config::deployment::Service;
+use masticdeal_ownership::ids::{ServiceId, SessionId};
+use masticdeal_ownership::table::{Session, Table, TargetState};
+use masticdeal_policy::balance::{Balancer, Sent, TargetIx};
+use masticdeal_policy::eject::{Ejector, Standing};
+use masticdeal_policy::retry::{self, Budget, BudgetSettings, Decision, Failed};
+use masticdeal_policy::{Outcome, balance, eject};
+use masticdeal_wire::peer::LoadHint;
+
+use crate::clock::Clock;
+
+/// State of all services, by name.
+#[derive(Default)]
+pub struct Services {
+    services: Mutex<HashMap<String, Arc<Mutex<State>>>>,
+}
+
+impl Services {
+    /// Returns the state of a service, with its present rules.
+    pub fn get(&self, now: Duration, service: &Service) -> Balance {
+        let mut services = self.services.lock().unwrap_or_else(|e| e.into_inner());
+        if !services.contains_key(&service.name) {
+            let state = Arc::new(Mutex::new(State::new(now, service)));
+            services.insert(service.name.clone(), state);
+        }
+        Balance {
+            state: Arc::clone(&services[&service.name]),
+        }
+    }
+}
+
+/// State of one service.
+#[derive(Clone)]
+pub struct Balance {
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    rules: Rules,
+    budget: Budget,
+    balancer: Balancer,
+    ejector: Ejector,
+    /// Version of the table that the targets were taken from.
+    table: Option<u64>,
+    targets: Vec<Target>,
+}
+
+/// The rules that the state was made with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Rules {
+    retry_budget: f64,
+    max_ejected: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Target {
+    session: SessionId,
+    slots: u16,
+    present: bool,
+}
+
+impl State {
+    fn new(now: Duration, service: &Service) -> Self {
+        let rules = Rules::of(service);
+        Self {
+            budget: budget(now, rules),
+            balancer: Balancer::new(balance::Settings::default()),
+            ejector: ejector(rules, 0),
+            rules,
+            table: None,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Takes over the targets of the service from the table.
+    fn follow(&mut self, now: Duration, table: &Table, service: ServiceId) {
+        if self.table.replace(table.version) == Some(table.version) {
+            return;
+        }
+        let ready: Vec<&Session> = table
+            .sessions
+            .iter()
+            .filter(|s| takes_work(s, service))
+            .collect();
+        for (at, target) in self.targets.iter_mut().enumerate() {
+            if target.present && !ready.iter().any(|s| s.id == target.session) {
+                target.present = false;
+                self.balancer.remove(TargetIx(at as u32));
+            }
+        }
+        for session in ready {
+            self.add(now, session);
+        }
+        self.ejector.resize(self.targets.len());
+    }
+
+    fn add(&mut self, now: Duration, session: &Session) {
+        let slots = session.target.as_ref().map_or(1, |t| t.slots);
+        let known = self.targets.iter().position(|t| t.session == session.id);
+        let at = known.unwrap_or_else(|| self.place(now));
+        let target = Target {
+            session: session.id,
+            slots,
+            present: true,
+        };
+        let was_present = known.is_some_and(|at| self.targets[at].present);
+        match self.targets.get_mut(at) {
+            Some(place) => *place = target,
+            None => self.targets.push(target),
+        }
+        if !was_present {
+            // The ramp is left to the owner, which sees every request to its target.
+            self.balancer.add(now, TargetIx(at as u32), false);
+        }
+    }
+
+    /// Returns an index that nothing refers to any more, or a new one.
+    fn place(&self, now: Duration) -> usize {
+        let free = |at: &usize| {
+            let ix = TargetIx(*at as u32);
+            let idle = !self.targets[*at].present && self.balancer.outstanding(ix) == 0;
+            idle && self.ejector.standing(now, ix) == Standing::In
+        };
+        (0..self.targets.len())
+            .find(free)
+            .unwrap_or(self.targets.len())
+    }
+
+    fn choose(&mut self, now: Duration, tried: &[SessionId]) -> Option<TargetIx> {
+        let (targets, ejector) = (&self.targets, &self.ejector);
+        let untried = |ix: TargetIx| !tried.contains(&targets[ix.0 as usize].session);
+        let open = |ix: TargetIx| untried(ix) && ejector.standing(now, ix) != Standing::Out;
+        let mut rng = rand::rng();
+        let chosen = self.balancer.choose_among(now, &mut rng, open);
+        // An ejected target is better than none.
+        let chosen = chosen.or_else(|| self.balancer.choose_among(now, &mut rng, untried))?;
+        if self.ejector.standing(now, chosen) == Standing::Probe {
+            self.ejector.begin_probe(now, chosen);
+        }
+        Some(chosen)
+    }
+}
+
+impl Rules {
+    fn of(service: &Service) -> Self {
+        Self {
+            retry_budget: service.retry_budget,
+            max_ejected: service.max_ejected,
+        }
+    }
+}
+
+impl Balance {
+    /// Counts a request of a caller, and takes over changed rules.
+    pub fn begin(&self, now: Duration, service: &Service) {
+        let mut state = self.lock();
+        let rules = Rules::of(service);
+        if rules != state.rules {
+            state.budget = budget(now, rules);
+            state.ejector = ejector(rules, state.targets.len());
+            state.rules = rules;
+        }
+        state.budget.deposit(now);
+    }
+
+    /// Decides whether a failed attempt is made again.
+    pub fn decide(&self, now: Duration, failed: &Failed) -> Decision {
+        let settings = retry::Settings::default();
+        retry::decide(
+            now,
+            failed,
+            &mut self.lock().budget,
+            &settings,
+            rand::random(),
+        )
+    }
+
+    /// Chooses the target of a request among those not tried yet.
+    pub fn choose(
+        &self,
+        clock: &Arc<dyn Clock>,
+        table: &Table,
+        service: ServiceId,
+        tried: &[SessionId],
+    ) -> Option<Choice> {
+        let now = clock.now();
+        let mut state = self.lock();
+        state.follow(now, table, service);
+        let target = state.choose(now, tried)?;
+        let session = state.targets[target.0 as usize].session;
+        let sent = Some(state.balancer.start(now, target));
+        let clock = Arc::clone(clock);
+        Some(Choice {
+            session,
+            balance: self.clone(),
+            clock,
+            sent,
+            answered: false,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+fn takes_work(session: &Session, service: ServiceId) -> bool {
+    let target = session.target.as_ref();
+    target.is_some_and(|t| t.service == service && t.state == TargetState::Ready)
+}
+
+fn budget(now: Duration, rules: Rules) -> Budget {
+    Budget::new(
+        now,
+        BudgetSettings {
+            share: rules.retry_budget,
+            ..Default::default()
+        },
+    )
+}
+
+fn ejector(rules: Rules, targets: usize) -> Ejector {
+    let settings = eject::Settings {
+        max_ejected: rules.max_ejected,
+        ..Default::default()
+    };
+    Ejector::new(settings, targets)
+}
+
+/// A request to a chosen target. It counts as outstanding until this is dropped.
+pub struct Choice {
+    /// Session of the daemon beside the target.
+    pub session: SessionId,
+    balance: Balance,
+    clock: Arc<dyn Clock>,
+    sent: Option<Sent>,
+    answered: bool,
+}
+
+impl Choice {
+    /// Records how the attempt ended and what the target's daemon reported.
+    pub fn record(&self, outcome: Outcome, load: LoadHint) {
+        let now = self.clock.now();
+        let Some(target) = self.sent.as_ref().map(Sent::target) else {
+            return;
+        };
+        let mut state = self.balance.lock();
+        let slots = state.targets[target.0 as usize].slots.max(1);
+        let load = f64::from(load.running + load.queued) / f64::from(slots);
+        state.balancer.report(now, target, load);
+        if let Some(change) = state.ejector.record(now, target, outcome) {
+            log::warn!(session:% = self.session; "Target standing changed: {change:?}");
+        }
+    }
+
+    /// Marks the request as answered in full.
+    pub fn complete(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Choice {
+    fn drop(&mut self) {
+        if let Some(sent) = self.sent.take() {
+            let now = self.clock.now();
+            self.balance
+                .lock()
+                .balancer
+                .finish(now, sent, self.answered);
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`ingress`]: the callers' port.
 //! - [`owner`]: queue in front of the target, the target's client, the announce port.
 //! - [`telemetry`]: logs, metrics, traces.
+//! - [`shutdown`]: end of the daemon that cuts off nothing.
 
 pub mod clock;
 pub mod exchange;
@@ -14,4 +15,5 @@
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod shutdown;
 pub mod telemetry;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Returns the configuration and the name of a service in it.
+    pub fn rules_of(&self, service: ServiceId) -> Option<(Arc<Deployment>, String)> {
+        let name = self.table.borrow().service(service)?.name.clone();
+        let rules = Arc::clone(&self.deployment.borrow().1);
+        Some((rules, name))
+    }
+
     /// Records versions that a peer reported.
     pub fn report(&self, versions: Versions) {
         self.reported.send_if_modified(|known| {
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -1,105 +1,173 @@
-//! Admission in front of the target: at most as many requests run as the target has slots.
+//! Admission in front of the target: the queue of [`masticdeal_policy`] with tasks and a timer.
 
-use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use masticdeal_wire::peer::{LoadHint, Reason};
-use tokio::sync::oneshot;
-use tokio::time::timeout;
+use masticdeal_config::deployment::{KeySource, Service};
+use masticdeal_policy::classes::{self, Classes, Cost, ShapeId};
+use masticdeal_policy::limit::{self, Limit};
+use masticdeal_policy::queue::{self, Permit, Queue, Refusal, Refused, Ticket, TicketId};
+use masticdeal_wire::peer::{Forward, LoadHint, Reason};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
 
 use crate::exchange::Failure;
 use crate::node::Node;
 use crate::telemetry::metrics::observe;
 
-/// Weight of the newest service time in the smoothed one.
+/// Weight of the newest sample in the smoothed times kept here.
 const SMOOTHING: f64 = 0.1;
 
+/// Time beyond the deadline for the queue's own refusal, which is more precise than a timeout.
+const REFUSAL_GRACE: Duration = Duration::from_millis(5);
+
+/// What the queue keeps for a waiting request.
+struct Waiting {
+    reply: oneshot::Sender<Result<Slot, Failure>>,
+    shape: ShapeId,
+    cost: Cost,
+}
+
 /// Requests that run and wait.
 pub struct Admission {
     node: Arc<Node>,
     inner: Mutex<Inner>,
+    changed: Notify,
 }
 
-#[derive(Default)]
 struct Inner {
+    queue: Queue<Waiting>,
+    classes: Classes,
     slots: usize,
-    running: usize,
-    waiting: VecDeque<Waiting>,
-    next: u64,
+    /// Smoothed service time in seconds, for the load hint and the planner; 0 while unknown.
     service_s: f64,
-}
-
-struct Waiting {
-    id: u64,
-    tx: oneshot::Sender<Slot>,
+    /// Smoothed time from the head of an answer to its end by cost class, in seconds.
+    tails_s: [f64; 2],
+    /// When the timer wakes next, as time since boot.
+    wake_at: Option<Duration>,
 }
 
 impl Admission {
-    /// Makes an admission without slots.
+    /// Makes an admission without slots, and starts its timer.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node, inner: Mutex::default() })
+        let limit = Limit::new(limit::Settings::default(), 0);
+        let inner = Inner {
+            queue: Queue::new(queue::Settings::default(), limit),
+            classes: Classes::new(classes::Settings::default()),
+            slots: 0,
+            service_s: 0.0,
+            tails_s: [0.0; 2],
+            wake_at: None,
+        };
+        let admission = Arc::new(Self {
+            node,
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+        });
+        tokio::spawn(run_timer(Arc::downgrade(&admission)));
+        admission
     }
 
     /// Waits for a slot of the target until the deadline, a time since boot.
     ///
     /// # Errors
     ///
-    /// [`Reason::QueueFull`] and [`Reason::Deadline`], each with the verdict `NotRun`.
+    /// [`Reason::QueueFull`], [`Reason::Deadline`] and [`Reason::TargetAway`], each with the
+    /// verdict `NotRun`.
     pub async fn admit(
         self: &Arc<Self>,
-        queue_length: usize,
+        head: &Forward,
+        service: Option<&Service>,
         deadline: Duration,
     ) -> Result<Slot, Failure> {
         let start = self.node.clock.now();
-        let (mut entry, rx) = self.enter(queue_length)?;
-        self.dispatch();
-        let slot = timeout(deadline.saturating_sub(start), rx).await;
-        entry.left = true;
-        observe(&self.node.metrics.queue_time, self.node.clock.now().saturating_sub(start));
+        let (_entry, rx) = self.enter(head, service, deadline)?;
+        self.step();
+        let wait = deadline.saturating_sub(start) + REFUSAL_GRACE;
+        let slot = timeout(wait, rx).await;
+        observe(
+            &self.node.metrics.queue_time,
+            self.node.clock.now().saturating_sub(start),
+        );
         match slot {
-            Ok(Ok(slot)) => Ok(slot),
+            Ok(Ok(slot)) => slot,
             Ok(Err(_)) => Err(Failure::not_run(Reason::TargetAway)),
-            Err(_) => {
-                entry.left = false;
-                Err(Failure::not_run(Reason::Deadline))
-            }
+            Err(_) => Err(Failure::not_run(Reason::Deadline)),
         }
     }
 
     fn enter(
         self: &Arc<Self>,
-        queue_length: usize,
-    ) -> Result<(Entry, oneshot::Receiver<Slot>), Failure> {
+        head: &Forward,
+        service: Option<&Service>,
+        deadline: Duration,
+    ) -> Result<(Entry, oneshot::Receiver<Result<Slot, Failure>>), Failure> {
+        let now = self.node.clock.now();
         let mut inner = self.lock();
-        if inner.waiting.len() >= queue_length && inner.running >= inner.slots {
-            let retry_after = Some(inner.wait());
-            return Err(Failure { retry_after, ..Failure::not_run(Reason::QueueFull) });
+        let class = inner.classes.classify(now, shape_of(head, service));
+        // The deadline bounds the head of the answer, and the queue reckons with whole service
+        // times. A download may go on after the deadline.
+        let tail = Duration::from_secs_f64(inner.tails_s[class.cost as usize]);
+        let ticket = Ticket::new(class, deadline + tail);
+        let (reply, rx) = oneshot::channel();
+        let waiting = Waiting {
+            reply,
+            shape: class.shape,
+            cost: class.cost,
+        };
+        match inner.queue.push(now, ticket, waiting) {
+            Ok(id) => Ok((
+                Entry {
+                    admission: Arc::clone(self),
+                    id,
+                },
+                rx,
+            )),
+            Err(refused) => Err(failure(refused.refusal)),
         }
-        let (tx, rx) = oneshot::channel();
-        let id = inner.next;
-        inner.next += 1;
-        inner.waiting.push_back(Waiting { id, tx });
-        Ok((Entry { admission: Arc::clone(self), id, left: false }, rx))
     }
 
-    /// Sets the number of slots; 0 refuses everything that waits.
-    pub fn set_slots(self: &Arc<Self>, slots: usize) {
-        let refused = {
+    /// Takes over the target's slots and the rules of its service.
+    pub fn open(self: &Arc<Self>, slots: usize, cold: bool, service: Option<&Service>) {
+        let now = self.node.clock.now();
+        {
             let mut inner = self.lock();
             inner.slots = slots;
-            if slots == 0 { std::mem::take(&mut inner.waiting) } else { VecDeque::new() }
-        };
-        drop(refused);
-        self.dispatch();
+            inner.queue.set_slots(now, slots);
+            inner.queue.resume();
+            if cold {
+                inner.queue.start_cold(now);
+            }
+            if let Some(service) = service {
+                let length = service
+                    .queue_length
+                    .min(self.node.settings.limits.queue_length);
+                let long_share = Some(service.long_share);
+                let settings = queue::Settings {
+                    long_share,
+                    length,
+                    ..Default::default()
+                };
+                inner.queue.configure(now, settings);
+            }
+        }
+        self.step();
+    }
+
+    /// Stops admission. What waits may start for `grace` longer and is refused then.
+    pub fn close(self: &Arc<Self>, grace: Duration) {
+        let now = self.node.clock.now();
+        self.lock().queue.drain(now + grace);
+        self.step();
     }
 
     /// Returns the load, as this daemon counts it.
     pub fn load(&self) -> LoadHint {
         let inner = self.lock();
+        let short = |count: usize| count.min(usize::from(u16::MAX)) as u16;
         LoadHint {
-            running: inner.running.min(usize::from(u16::MAX)) as u16,
-            queued: inner.waiting.len().min(usize::from(u16::MAX)) as u16,
+            running: short(inner.queue.running()),
+            queued: short(inner.queue.waiting()),
             service_us: (inner.service_s * 1e6) as u32,
         }
     }
@@ -107,27 +175,48 @@
     /// Returns the measured capacity in requests per second; 0 while nothing is measured.
     pub fn service_rate(&self) -> f64 {
         let inner = self.lock();
-        if inner.service_s > 0.0 { inner.slots as f64 / inner.service_s } else { 0.0 }
+        if inner.service_s > 0.0 {
+            inner.slots as f64 / inner.service_s
+        } else {
+            0.0
+        }
     }
 
-    fn dispatch(self: &Arc<Self>) {
-        // A slot that finds its request gone is dropped after the lock is released, since the drop
-        // takes the lock.
-        while let Some((tx, slot)) = self.pop() {
-            let _ = tx.send(slot);
+    /// Starts what may run, refuses what cannot, and sets the timer.
+    fn step(self: &Arc<Self>) {
+        // Slots and refusals are sent after the lock is released: a slot whose request has gone is
+        // dropped by the send, and its drop takes the lock.
+        let (started, refused) = {
+            let now = self.node.clock.now();
+            let mut inner = self.lock();
+            let inner = &mut *inner;
+            inner.queue.review(now, &mut inner.classes);
+            let mut started = Vec::new();
+            while let Some((waiting, permit)) = inner.queue.pop(now) {
+                let class = (waiting.shape, waiting.cost);
+                started.push((waiting.reply, Slot::new(self, permit, now, class)));
+            }
+            let refused = inner.queue.expire(now);
+            let next = inner.queue.next_event(now);
+            if next.is_some_and(|next| inner.wake_at.is_none_or(|at| next < at)) {
+                self.changed.notify_one();
+            }
+            (started, refused)
+        };
+        for (reply, slot) in started {
+            let _ = reply.send(Ok(slot));
+        }
+        for Refused { refusal, item } in refused {
+            let _ = item.reply.send(Err(failure(refusal)));
         }
     }
 
-    fn pop(self: &Arc<Self>) -> Option<(oneshot::Sender<Slot>, Slot)> {
+    /// Returns the time until the next step, and notes it.
+    fn schedule(&self) -> Option<Duration> {
+        let now = self.node.clock.now();
         let mut inner = self.lock();
-        if inner.running >= inner.slots {
-            return None;
-        }
-        let waiting = inner.waiting.pop_front()?;
-        inner.running += 1;
-        let started = self.node.clock.now();
-        let slot = Slot { admission: Arc::clone(self), started, measured: false };
-        Some((waiting.tx, slot))
+        inner.wake_at = inner.queue.next_event(now);
+        inner.wake_at.map(|at| at.saturating_sub(now))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -135,61 +224,156 @@
     }
 }
 
-impl Inner {
-    fn wait(&self) -> Duration {
-        let slots = self.slots.max(1) as f64;
-        Duration::from_secs_f64(self.service_s * (self.waiting.len() as f64 + 1.0) / slots)
+async fn run_timer(admission: std::sync::Weak<Admission>) {
+    loop {
+        let Some(admission) = admission.upgrade() else {
+            return;
+        };
+        let wait = admission.schedule();
+        let timer = async {
+            match wait {
+                Some(wait) => sleep(wait).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = timer => admission.step(),
+            () = admission.changed.notified() => {}
+        }
+    }
+}
+
+fn shape_of<'a>(head: &'a Forward, service: Option<&'a Service>) -> classes::Request<'a> {
+    let key_segment = match service.and_then(|s| s.key.as_ref()) {
+        Some(KeySource::Path(segment)) => Some(*segment),
+        _ => None,
+    };
+    classes::Request {
+        service: service.map_or("", |s| s.name.as_str()),
+        method: &head.method,
+        path: &head.path,
+        key_segment,
+    }
+}
+
+fn failure(refusal: Refusal) -> Failure {
+    let reason = match refusal.reason {
+        queue::Reason::QueueFull => Reason::QueueFull,
+        queue::Reason::TooLate | queue::Reason::DeadlinePassed => Reason::Deadline,
+        queue::Reason::Draining => Reason::TargetAway,
+    };
+    let retry_after = Some(refusal.retry_after);
+    Failure {
+        retry_after,
+        ..Failure::new(refusal.verdict(), reason)
     }
 }
 
 /// Removes a request from the queue when its future is dropped.
 struct Entry {
     admission: Arc<Admission>,
-    id: u64,
-    left: bool,
+    id: TicketId,
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        if self.left {
-            return;
-        }
-        let mut inner = self.admission.lock();
-        if let Some(at) = inner.waiting.iter().position(|w| w.id == self.id) {
-            inner.waiting.remove(at);
-        }
+        // A request that runs or has ended is not in the queue any more.
+        let _ = self.admission.lock().queue.cancel(self.id);
     }
 }
 
 /// One slot of the target, held while a request runs.
 pub struct Slot {
     admission: Arc<Admission>,
+    permit: Option<Permit>,
     started: Duration,
-    measured: bool,
+    head_after: Option<Duration>,
+    end: End,
+    class: (ShapeId, Cost),
+}
+
+/// How a request left its slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Its time says nothing about the work.
+    Cut,
+    /// The target refused it because of load.
+    Shed,
+    /// The whole answer was read.
+    Whole,
 }
 
 impl Slot {
-    /// Marks the request as answered in full, so that its time counts.
+    fn new(
+        admission: &Arc<Admission>,
+        permit: Permit,
+        started: Duration,
+        class: (ShapeId, Cost),
+    ) -> Self {
+        Self {
+            admission: Arc::clone(admission),
+            permit: Some(permit),
+            started,
+            head_after: None,
+            end: End::Cut,
+            class,
+        }
+    }
+
+    /// Notes the arrival of the head of the answer.
+    pub fn note_head(&mut self) {
+        self.head_after = Some(self.elapsed());
+    }
+
+    /// Ends a request whose answer was read in full, so that its time counts.
     pub fn complete(mut self) {
-        self.measured = true;
+        self.end = End::Whole;
+    }
+
+    /// Ends a request that the target refused because of load.
+    pub fn shed(mut self) {
+        self.end = End::Shed;
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.admission.node.clock.now().saturating_sub(self.started)
+    }
+
+    fn release(&mut self, permit: Permit) {
+        let now = self.admission.node.clock.now();
+        let time = now.saturating_sub(self.started);
+        let whole = self.end == End::Whole;
+        let mut inner = self.admission.lock();
+        inner.queue.finish(now, permit, whole.then_some(time));
+        if self.end == End::Shed {
+            inner.queue.reduce(now);
+        }
+        if !whole {
+            return;
+        }
+        smooth(&mut inner.service_s, time);
+        let (shape, cost) = self.class;
+        inner.classes.record(now, shape, time);
+        let tail = time.saturating_sub(self.head_after.unwrap_or(time));
+        smooth(&mut inner.tails_s[cost as usize], tail);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let time = self.admission.node.clock.now().saturating_sub(self.started);
-        {
-            let mut inner = self.admission.lock();
-            inner.running -= 1;
-            if self.measured {
-                let newest = time.as_secs_f64();
-                let old = if inner.service_s > 0.0 { inner.service_s } else { newest };
-                inner.service_s = old + SMOOTHING * (newest - old);
-            }
-        }
-        if self.measured {
-            observe(&self.admission.node.metrics.service_time, time);
+        let Some(permit) = self.permit.take() else {
+            return;
+        };
+        if self.end == End::Whole {
+            observe(&self.admission.node.metrics.service_time, self.elapsed());
         }
-        self.admission.dispatch();
+        self.release(permit);
+        self.admission.step();
     }
 }
+
+fn smooth(mean: &mut f64, sample: Duration) {
+    let sample = sample.as_secs_f64();
+    let old = if *mean > 0.0 { *mean } else { sample };
+    *mean = old + SMOOTHING * (sample - old);
+}
--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -56,7 +56,10 @@
 
 /// Serves the announce port and publishes into [`Node::target`]. Never returns.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    let state = Arc::new(State { node, last: Mutex::new(None) });
+    let state = Arc::new(State {
+        node,
+        last: Mutex::new(None),
+    });
     let bound = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let accepted = tokio::select! {
@@ -67,7 +70,9 @@
             }
         };
         let Ok((stream, _)) = accepted else { continue };
-        let Ok(permit) = Arc::clone(&bound).try_acquire_owned() else { continue };
+        let Ok(permit) = Arc::clone(&bound).try_acquire_owned() else {
+            continue;
+        };
         let state = Arc::clone(&state);
         tokio::spawn(async move {
             connection(state, stream).await;
@@ -82,8 +87,12 @@
         async move { Ok::<_, Infallible>(state.answer(request).await) }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
 }
 
 struct State {
@@ -100,7 +109,11 @@
         if request.method() != Method::POST {
             return response(StatusCode::METHOD_NOT_ALLOWED, String::new());
         }
-        match self.read(request).await.and_then(|announce| self.publish(announce)) {
+        match self
+            .read(request)
+            .await
+            .and_then(|announce| self.publish(announce))
+        {
             Ok(()) => response(StatusCode::OK, String::new()),
             Err(e @ Error::OtherTarget(_)) => response(StatusCode::CONFLICT, e.to_string()),
             Err(e @ Error::Body) => response(StatusCode::PAYLOAD_TOO_LARGE, e.to_string()),
@@ -110,7 +123,9 @@
 
     async fn read(&self, request: Request<Incoming>) -> Result<Announce, Error> {
         let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-        let body = tokio::time::timeout(HEAD_TIMEOUT, body).await.map_err(|_| Error::Body)?;
+        let body = tokio::time::timeout(HEAD_TIMEOUT, body)
+            .await
+            .map_err(|_| Error::Body)?;
         let body = body.map_err(|_| Error::Body)?.to_bytes();
         let announce: Announce =
             serde_json::from_slice(&body).map_err(|e| Error::Malformed(e.to_string()))?;
--- a/crates/daemon/src/owner/answer.rs
+++ b/crates/daemon/src/owner/answer.rs
@@ -30,7 +30,7 @@
     /// Slot of the target.
     pub slot: Slot,
     /// Counts the request for its shard.
-    pub shard: Option<Entered>,
+    pub _shard: Option<Entered>,
 }
 
 impl Running {
@@ -51,7 +51,11 @@
 impl TargetBody {
     /// Makes the body.
     pub fn new(inner: Incoming, running: Running) -> Self {
-        let mut body = Self { inner, running: Some(running), stall: None };
+        let mut body = Self {
+            inner,
+            running: Some(running),
+            stall: None,
+        };
         body.complete_at_end();
         body
     }
@@ -65,7 +69,9 @@
     }
 
     fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<BodyError> {
-        let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(STALL_LIMIT)));
+        let stall = self
+            .stall
+            .get_or_insert_with(|| Box::pin(sleep(STALL_LIMIT)));
         stall.as_mut().poll(cx).map(|()| BodyError::Stalled)
     }
 }
--- a/crates/daemon/src/owner/gate.rs
+++ b/crates/daemon/src/owner/gate.rs
@@ -38,7 +38,10 @@
             return Ok(());
         }
         self.refused.store(true, Ordering::Release);
-        Err(io::Error::new(io::ErrorKind::PermissionDenied, "the request may no longer be served"))
+        Err(io::Error::new(
+            io::ErrorKind::PermissionDenied,
+            "the request may no longer be served",
+        ))
     }
 }
 
--- a/crates/daemon/src/owner/grant.rs
+++ b/crates/daemon/src/owner/grant.rs
@@ -56,7 +56,9 @@
         // The connection is out of its place while it is used: a call that is dropped at its
         // timeout closes it.
         let mut place = self.grants.connection.lock().await;
-        let kept = place.take().filter(|(to, c)| *to == address && c.send.is_ready());
+        let kept = place
+            .take()
+            .filter(|(to, c)| *to == address && c.send.is_ready());
         let mut connection = match kept {
             Some((_, connection)) => connection,
             None => Connection::open(&self.node, address)
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -14,11 +14,13 @@
 mod target;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use futures_util::FutureExt;
 use masticdeal_ownership::ids::{ServiceId, ShardId};
+use masticdeal_policy::drain::START_LIMIT;
 use masticdeal_wire::peer::{LoadHint, Reason};
-use masticdeal_wire::target::{AnnouncedState, Announce};
-use futures_util::FutureExt;
+use masticdeal_wire::target::{Announce, AnnouncedState};
 
 pub use announce::serve as serve_announce;
 pub use grant::Error as GrantError;
@@ -64,10 +66,16 @@
         match self.run(request).await {
             Ok(answer) => Outcome::Answer(answer),
             Err(failure) => {
-                let reason = ByReason { reason: failure.reason.as_str() };
+                let reason = ByReason {
+                    reason: failure.reason.as_str(),
+                };
                 self.node.metrics.refusals.get_or_create(&reason).inc();
                 let (versions, load) = (self.node.versions(), self.load());
-                Outcome::Failed(Failure { versions, load, ..failure })
+                Outcome::Failed(Failure {
+                    versions,
+                    load,
+                    ..failure
+                })
             }
         }
     }
@@ -98,10 +106,11 @@
         self.admission.service_rate()
     }
 
-    /// Returns the target when it takes work for this service.
-    fn ready_target(&self, service: ServiceId) -> Result<Announce, Failure> {
+    /// Returns the target when it takes work for this service. A draining target still takes what
+    /// the admission lets start.
+    fn target_for(&self, service: ServiceId) -> Result<Announce, Failure> {
         let target = self.node.target.borrow().clone();
-        let target = target.filter(|t| t.state == AnnouncedState::Ready);
+        let target = target.filter(|t| t.state != AnnouncedState::Starting);
         let target = target.ok_or(Failure::not_run(Reason::TargetAway))?;
         let known = self.node.table.borrow().service_id(&target.service);
         if known != Some(service) {
@@ -111,17 +120,32 @@
     }
 }
 
-/// Passes the target's slots on to the admission. A target that is away or draining has none, which
-/// refuses everything that waits.
+/// Passes the target's state and the rules of its service on to the admission.
 async fn follow(node: Arc<Node>, admission: Arc<Admission>) {
     let mut target = node.target.subscribe();
+    let mut deployment = node.deployment.subscribe();
+    let mut draining = node.draining.subscribe();
+    let mut starting = false;
     loop {
-        let slots = target.borrow_and_update().as_ref().map_or(0, |t| match t.state {
-            AnnouncedState::Ready => usize::from(t.slots),
-            AnnouncedState::Starting | AnnouncedState::Draining => 0,
-        });
-        admission.set_slots(slots);
-        if target.changed().await.is_err() {
+        let announced = target.borrow_and_update().clone();
+        let (_, rules) = deployment.borrow_and_update().clone();
+        let closing = *draining.borrow_and_update();
+        let state = announced.as_ref().map(|t| t.state);
+        match announced {
+            _ if closing => admission.close(START_LIMIT),
+            Some(t) if t.state == AnnouncedState::Ready => {
+                admission.open(usize::from(t.slots), starting, rules.service(&t.service));
+            }
+            Some(t) if t.state == AnnouncedState::Draining => admission.close(START_LIMIT),
+            _ => admission.close(Duration::ZERO),
+        }
+        starting = state == Some(AnnouncedState::Starting);
+        let changed = tokio::select! {
+            changed = target.changed() => changed,
+            changed = deployment.changed() => changed,
+            changed = draining.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -59,7 +59,9 @@
 
 impl Right {
     fn epoch(&self) -> Result<Option<Epoch>, Failure> {
-        let Some((shard, key_hash)) = self.key else { return Ok(None) };
+        let Some((shard, key_hash)) = self.key else {
+            return Ok(None);
+        };
         let epoch = (self.node.may_serve)(self.service, shard, key_hash);
         epoch.map(Some).map_err(Failure::not_run)
     }
@@ -67,18 +69,34 @@
 
 impl Owner {
     pub(super) async fn run(&self, request: Request) -> Result<Answer, Failure> {
-        let Request { head, body, deadline } = request;
+        let Request {
+            head,
+            body,
+            deadline,
+        } = request;
         let hop = Hop::start("owner", &head.traceparent);
         let key = head.shard.zip(head.key_hash);
-        let right = Right { node: Arc::clone(&self.node), service: head.service, key };
+        let right = Right {
+            node: Arc::clone(&self.node),
+            service: head.service,
+            key,
+        };
         // Counted before the first check, so that a move that waits for the shard sees every
         // request that passed the check.
-        let shard = head.shard.map(|shard| self.shards.enter(head.service, shard));
+        let shard = head
+            .shard
+            .map(|shard| self.shards.enter(head.service, shard));
         let slot = self.admit(&head, &right, deadline).await?;
-        let target = self.ready_target(head.service)?;
+        let target = self.target_for(head.service)?;
         let epoch = right.epoch()?;
         let request = build(&head, body, epoch, &target.address, &hop)?;
-        let job = Job { owner: self, right, epoch, address: target.address, deadline };
+        let job = Job {
+            owner: self,
+            right,
+            epoch,
+            address: target.address,
+            deadline,
+        };
         job.run(request, slot, shard).await
     }
 
@@ -95,18 +113,10 @@
             return Err(Failure::not_run(Reason::Deadline));
         }
         right.epoch()?;
-        self.ready_target(head.service)?;
-        let queue_length = self.queue_length(head.service);
-        self.admission.admit(queue_length, deadline).await
-    }
-
-    fn queue_length(&self, service: ServiceId) -> usize {
-        let limit = self.node.settings.limits.queue_length;
-        let table = self.node.table.borrow();
-        let deployment = self.node.deployment.borrow();
-        let name = table.service(service).map(|s| s.name.as_str());
-        let declared = deployment.1.services.iter().find(|s| Some(s.name.as_str()) == name);
-        declared.map_or(limit, |s| s.queue_length.min(limit))
+        self.target_for(head.service)?;
+        let rules = self.node.rules_of(head.service);
+        let service = rules.as_ref().and_then(|(rules, name)| rules.service(name));
+        self.admission.admit(head, service, deadline).await
     }
 }
 
@@ -123,7 +133,7 @@
     async fn run(
         &self,
         mut request: http::Request<Body>,
-        slot: Slot,
+        mut slot: Slot,
         shard: Option<Entered>,
     ) -> Result<Answer, Failure> {
         let node = &self.owner.node;
@@ -147,15 +157,25 @@
             let failed = match sent {
                 Ok(response) => {
                     self.owner.health.answered();
+                    slot.note_head();
                     let pool = Arc::clone(&self.owner.pool);
                     let node = Arc::clone(node);
-                    let running = Running { node, pool, connection, slot, shard };
+                    let running = Running {
+                        node,
+                        pool,
+                        connection,
+                        slot,
+                        _shard: shard,
+                    };
                     return self.answer(response, running);
                 }
                 Err(failed) => failed,
             };
             if connection.gate.has_refused() {
-                return Err(self.check().err().unwrap_or(Failure::not_run(Reason::Deadline)));
+                return Err(self
+                    .check()
+                    .err()
+                    .unwrap_or(Failure::not_run(Reason::Deadline)));
             }
             let unwritten = connection.counts.written() == written;
             let mut failed = failed;
@@ -210,7 +230,9 @@
         running: Running,
     ) -> Result<Answer, Failure> {
         if let Some(failure) = refusal(&response) {
-            running.complete_refused();
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                running.slot.shed();
+            }
             return Err(failure);
         }
         if !ends_visibly(&response) {
@@ -218,16 +240,17 @@
         }
         let status = response.status().as_u16();
         let headers = end_to_end(response.headers());
-        let headers = headers.into_iter().filter(|(name, _)| !is_internal(name)).collect();
+        let headers = headers
+            .into_iter()
+            .filter(|(name, _)| !is_internal(name))
+            .collect();
         let body = TargetBody::new(response.into_body(), running).boxed_unsync();
-        Ok(Answer { status, headers, body, load: self.owner.load() })
-    }
-}
-
-impl Running {
-    /// Ends a request that the target refused; its time says nothing about the target's work.
-    fn complete_refused(self) {
-        drop(self);
+        Ok(Answer {
+            status,
+            headers,
+            body,
+            load: self.owner.load(),
+        })
     }
 }
 
@@ -247,15 +270,28 @@
 /// Returns the failure when the target itself says that it did not run the request.
 fn refusal(response: &http::Response<Incoming>) -> Option<Failure> {
     let status = response.status();
-    let refused = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::PRECONDITION_FAILED];
+    let refused = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::PRECONDITION_FAILED,
+    ];
     let verdict = response.headers().get(headers::VERDICT)?.to_str().ok()?;
     if !refused.contains(&status) || Verdict::parse(verdict) != Some(Verdict::NotRun) {
         return None;
     }
     let retry_after = response.headers().get(http::header::RETRY_AFTER);
-    let seconds = retry_after.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+    let seconds = retry_after
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok());
     let retry_after = seconds.map(Duration::from_secs);
-    Some(Failure { retry_after, ..Failure::not_run(Reason::TargetRefused) })
+    if status == StatusCode::PRECONDITION_FAILED {
+        // The target does not hold the grant for this epoch: it is on its way, or a newer owner
+        // has sent its own.
+        return Some(Failure::not_run(Reason::Moving));
+    }
+    Some(Failure {
+        retry_after,
+        ..Failure::not_run(Reason::TargetRefused)
+    })
 }
 
 /// Returns whether a cut answer can be told from a whole one. An answer that ends with the
@@ -280,8 +316,7 @@
 ) -> Result<http::Request<Body>, Failure> {
     let malformed = || Failure::not_run(Reason::Malformed);
     let mut request = http::Request::new(body);
-    *request.method_mut() =
-        Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
+    *request.method_mut() = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed())?;
     *request.uri_mut() = Uri::try_from(head.path.as_str()).map_err(|_| malformed())?;
     let mut map = to_header_map(&head.headers).map_err(|_| malformed())?;
     let text = |text: &str| HeaderValue::try_from(text).map_err(|_| malformed());
@@ -299,5 +334,8 @@
 }
 
 fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
-    headers.insert(headers::DEADLINE_MS, HeaderValue::from(to_wire_ms(remaining)));
+    headers.insert(
+        headers::DEADLINE_MS,
+        HeaderValue::from(to_wire_ms(remaining)),
+    );
 }
--- a/crates/daemon/src/owner/shards.rs
+++ b/crates/daemon/src/owner/shards.rs
@@ -20,7 +20,10 @@
     pub fn enter(self: &Arc<Self>, service: ServiceId, shard: ShardId) -> Entered {
         let key = (service, shard);
         *self.lock().entry(key).or_default() += 1;
-        Entered { shards: Arc::clone(self), key }
+        Entered {
+            shards: Arc::clone(self),
+            key,
+        }
     }
 
     /// Resolves when no request of the shard runs or waits.
@@ -52,7 +55,9 @@
 impl Drop for Entered {
     fn drop(&mut self) {
         let mut counts = self.shards.lock();
-        let Some(count) = counts.get_mut(&self.key) else { return };
+        let Some(count) = counts.get_mut(&self.key) else {
+            return;
+        };
         *count -= 1;
         if *count == 0 {
             counts.remove(&self.key);
--- a/crates/daemon/src/owner/target.rs
+++ b/crates/daemon/src/owner/target.rs
@@ -72,7 +72,14 @@
             let _ = connection.await;
         });
         let idle_since = Duration::ZERO;
-        Ok(Self { send, counts, gate, address, idle_since, task: task.abort_handle() })
+        Ok(Self {
+            send,
+            counts,
+            gate,
+            address,
+            idle_since,
+            task: task.abort_handle(),
+        })
     }
 }
 
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -36,7 +36,12 @@
             HeaderValue::try_from(format!("Bearer {}", node.settings.secret.peers))
                 .unwrap_or_else(|_| HeaderValue::from_static("Bearer"));
         authorization.set_sensitive(true);
-        Arc::new(Self { node, control: Pool::default(), forward: Pool::default(), authorization })
+        Arc::new(Self {
+            node,
+            control: Pool::default(),
+            forward: Pool::default(),
+            authorization,
+        })
     }
 
     /// Sends one control message and waits for its answer. A call that times out retires the
@@ -80,7 +85,9 @@
             return Err(Error::Refused(response.status().as_u16()));
         }
         let mut reply = response.into_body();
-        stream::read_frame(&mut reply).await.map_err(|e| Error::Connection(e.to_string()))
+        stream::read_frame(&mut reply)
+            .await
+            .map_err(|e| Error::Connection(e.to_string()))
     }
 
     pub(super) fn request(&self, path: &'static str) -> http::Request<()> {
@@ -94,7 +101,9 @@
             .path_and_query(path)
             .build()
             .unwrap_or_default();
-        request.headers_mut().insert(AUTHORIZATION, self.authorization.clone());
+        request
+            .headers_mut()
+            .insert(AUTHORIZATION, self.authorization.clone());
         request
     }
 
--- a/crates/daemon/src/peers/forward.rs
+++ b/crates/daemon/src/peers/forward.rs
@@ -37,7 +37,9 @@
             Ok(Err(_)) => return Failure::not_run(Reason::PeerFailed).into(),
             Ok(Ok(ready)) => ready,
         };
-        self.exchange(link, send, request).await.unwrap_or_else(Outcome::Failed)
+        self.exchange(link, send, request)
+            .await
+            .unwrap_or_else(Outcome::Failed)
     }
 
     async fn ready(
@@ -45,7 +47,12 @@
         to: SocketAddr,
     ) -> Result<(Arc<Link>, h2::client::SendRequest<Bytes>), super::Error> {
         let link = self.forward_link(to).await?;
-        let send = link.send.clone().ready().await.map_err(super::Error::from_h2)?;
+        let send = link
+            .send
+            .clone()
+            .ready()
+            .await
+            .map_err(super::Error::from_h2)?;
         Ok((link, send))
     }
 
@@ -60,7 +67,10 @@
         request.head.deadline_ms = to_wire_ms(remaining);
         let frame = codec::encode(&request.head).map_err(|_| Failure::not_run(Reason::TooLarge))?;
         let entered = link.outstanding.enter();
-        let sent = Sent { written_before: link.counts.written(), link };
+        let sent = Sent {
+            written_before: link.counts.written(),
+            link,
+        };
         let (response, mut body) = send
             .send_request(self.request(headers::PATH_FORWARD), false)
             .map_err(|_| Failure::not_run(Reason::PeerFailed))?;
@@ -70,7 +80,10 @@
         let head = timeout(remaining + VERDICT_GRACE, read_head(response)).await;
         let head = head.map_err(|_| Failure::may_have_run(Reason::Deadline))?;
         let (reply, rest, stream) = head.map_err(|e| sent.head_failure(e))?;
-        observe(&self.node.metrics.hop_time, self.node.clock.now().saturating_sub(start));
+        observe(
+            &self.node.metrics.hop_time,
+            self.node.clock.now().saturating_sub(start),
+        );
         Ok(outcome(reply, rest, stream, (entered, upload, sent)))
     }
 }
@@ -84,8 +97,16 @@
 impl Sent {
     fn failure(&self, e: &h2::Error) -> Failure {
         let unwritten = self.link.counts.written() == self.written_before;
-        let reason = if self.link.was_silent() { Reason::Silent } else { Reason::PeerFailed };
-        let verdict = if unwritten || proves_not_run(e) { Verdict::NotRun } else { Verdict::MayHaveRun };
+        let reason = if self.link.was_silent() {
+            Reason::Silent
+        } else {
+            Reason::PeerFailed
+        };
+        let verdict = if unwritten || proves_not_run(e) {
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        };
         Failure::new(verdict, reason)
     }
 
@@ -120,7 +141,9 @@
         return Err(HeadError::Refused);
     }
     let mut stream = response.into_body();
-    let (reply, rest) = stream::read_message(&mut stream).await.map_err(HeadError::Stream)?;
+    let (reply, rest) = stream::read_message(&mut stream)
+        .await
+        .map_err(HeadError::Stream)?;
     Ok((reply, rest, stream))
 }
 
@@ -131,13 +154,34 @@
     keep: impl Send + 'static,
 ) -> Outcome {
     match reply {
-        ForwardReply::Answer { status, headers, load } => {
-            let body = StreamBody::new(stream, rest, BodyError::PeerFailed, keep);
-            Outcome::Answer(Answer { status, headers, body, load })
+        ForwardReply::Answer {
+            status,
+            headers,
+            load,
+        } => {
+            let body = StreamBody::boxed(stream, rest, BodyError::PeerFailed, keep);
+            Outcome::Answer(Answer {
+                status,
+                headers,
+                body,
+                load,
+            })
         }
-        ForwardReply::Failed { verdict, reason, retry_after_ms, versions, load } => {
+        ForwardReply::Failed {
+            verdict,
+            reason,
+            retry_after_ms,
+            versions,
+            load,
+        } => {
             let retry_after = retry_after_ms.map(|ms| Duration::from_millis(ms.into()));
-            Outcome::Failed(Failure { verdict, reason, retry_after, versions, load })
+            Outcome::Failed(Failure {
+                verdict,
+                reason,
+                retry_after,
+                versions,
+                load,
+            })
         }
     }
 }
--- a/crates/daemon/src/peers/io.rs
+++ b/crates/daemon/src/peers/io.rs
@@ -6,8 +6,8 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::OnceLock;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -11,7 +11,7 @@
 
 use super::io::{Counted, Counts};
 use super::watchdog::{self, Outstanding};
-use super::{STREAM_WINDOW_BYTES, CONNECTION_WINDOW_BYTES, Error, Result};
+use super::{CONNECTION_WINDOW_BYTES, Error, Result, STREAM_WINDOW_BYTES};
 use crate::node::Node;
 
 /// What a connection is used for.
@@ -48,7 +48,9 @@
     ///
     /// [`Error::Connect`] when the connection cannot be established.
     pub async fn open(node: &Arc<Node>, to: SocketAddr, purpose: Use) -> Result<Self> {
-        let stream = connect(node, to).await.map_err(|e| Error::Connect(e.to_string()))?;
+        let stream = connect(node, to)
+            .await
+            .map_err(|e| Error::Connect(e.to_string()))?;
         let counts = Arc::new(Counts::default());
         if purpose == Use::Control {
             counts.feed(&node.metrics.control_in, &node.metrics.control_out);
@@ -66,7 +68,13 @@
             state: Arc::clone(&state),
         };
         let driver = tokio::spawn(driver.run(connection)).abort_handle();
-        Ok(Self { send, counts, outstanding, state, driver })
+        Ok(Self {
+            send,
+            counts,
+            outstanding,
+            state,
+            driver,
+        })
     }
 
     /// Returns whether new requests may use the connection.
@@ -136,7 +144,11 @@
 }
 
 async fn connect(node: &Node, to: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let socket = if to.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
     socket.bind(SocketAddr::new(node.settings.listen.peers.ip(), 0))?;
     let stream = socket.connect(to).await?;
     stream.set_nodelay(true)?;
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -113,7 +113,9 @@
         let Ok(Ok(mut connection)) = timeout(READ_TIMEOUT, builder().handshake(io)).await else {
             return;
         };
-        let Some(pings) = connection.ping_pong() else { return };
+        let Some(pings) = connection.ping_pong() else {
+            return;
+        };
         let limits = &self.node.settings.limits;
         let silent = watchdog::until_silent(pings, &self.counts, &self.outstanding, limits);
         tokio::select! {
@@ -139,7 +141,9 @@
                     continue;
                 }
             };
-            let Some(Ok((request, respond))) = accepted else { return };
+            let Some(Ok((request, respond))) = accepted else {
+                return;
+            };
             if !self.is_authorized(request.headers()) {
                 return self.turn_away(connection, respond).await;
             }
@@ -149,7 +153,9 @@
 
     fn is_authorized(&self, headers: &HeaderMap) -> bool {
         let secret = &self.node.settings.secret.peers;
-        let given = headers.get(AUTHORIZATION).map_or(&b""[..], |v| v.as_bytes());
+        let given = headers
+            .get(AUTHORIZATION)
+            .map_or(&b""[..], |v| v.as_bytes());
         let given = given.strip_prefix(b"Bearer ").unwrap_or_default();
         // An empty secret admits nobody.
         !secret.is_empty() && bool::from(given.ct_eq(secret.as_bytes()))
@@ -180,8 +186,15 @@
             let _ = respond.send_response(status(StatusCode::NOT_FOUND), true);
             return;
         };
-        self.counts.feed(&self.node.metrics.control_in, &self.node.metrics.control_out);
-        if self.control(path, request.into_body(), &mut respond).await.is_err() {
+        self.counts.feed(
+            &self.node.metrics.control_in,
+            &self.node.metrics.control_out,
+        );
+        if self
+            .control(path, request.into_body(), &mut respond)
+            .await
+            .is_err()
+        {
             respond.send_reset(h2::Reason::INTERNAL_ERROR);
         }
     }
@@ -208,7 +221,9 @@
                 return Ok(());
             }
         };
-        let mut out = respond.send_response(status(StatusCode::OK), false).map_err(Error::from_h2)?;
+        let mut out = respond
+            .send_response(status(StatusCode::OK), false)
+            .map_err(Error::from_h2)?;
         out.send_data(reply, true).map_err(Error::from_h2)
     }
 
@@ -221,8 +236,12 @@
         };
         self.node.report(head.versions);
         let deadline = self.node.clock.now() + Duration::from_millis(head.deadline_ms.into());
-        let body = StreamBody::new(body, rest, BodyError::CallerFailed, ());
-        let request = Request { head, body, deadline };
+        let body = StreamBody::boxed(body, rest, BodyError::CallerFailed, ());
+        let request = Request {
+            head,
+            body,
+            deadline,
+        };
         let outcome = tokio::select! {
             outcome = (self.handlers.forward)(request) => outcome,
             _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
@@ -237,7 +256,11 @@
 async fn reply(outcome: Outcome, mut out: SendStream<Bytes>) {
     let (message, body) = match outcome {
         Outcome::Answer(a) => {
-            let message = ForwardReply::Answer { status: a.status, headers: a.headers, load: a.load };
+            let message = ForwardReply::Answer {
+                status: a.status,
+                headers: a.headers,
+                load: a.load,
+            };
             (message, Some(a.body))
         }
         Outcome::Failed(f) => (failed(f), None),
--- a/crates/daemon/src/peers/stream.rs
+++ b/crates/daemon/src/peers/stream.rs
@@ -73,7 +73,9 @@
 }
 
 async fn next_data(stream: &mut RecvStream) -> Result<Option<Bytes>> {
-    let Some(data) = stream.data().await else { return Ok(None) };
+    let Some(data) = stream.data().await else {
+        return Ok(None);
+    };
     let data = data?;
     stream.flow_control().release_capacity(data.len())?;
     Ok(Some(data))
@@ -90,13 +92,19 @@
 impl StreamBody {
     /// Makes a body of `head` and the rest of `stream`. A stream that fails yields `failure`;
     /// `keep` is dropped with the body.
-    pub fn new(
+    pub fn boxed(
         stream: RecvStream,
         head: Bytes,
         failure: BodyError,
         keep: impl Any + Send,
     ) -> Body {
-        Self { stream, head, failure, _keep: Box::new(keep) }.boxed_unsync()
+        Self {
+            stream,
+            head,
+            failure,
+            _keep: Box::new(keep),
+        }
+        .boxed_unsync()
     }
 
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
@@ -127,7 +135,12 @@
         };
         // The capacity goes back when the reader asks for the next frame at the latest, since it
         // has taken this one.
-        if self.stream.flow_control().release_capacity(data.len()).is_err() {
+        if self
+            .stream
+            .flow_control()
+            .release_capacity(data.len())
+            .is_err()
+        {
             return Poll::Ready(Some(Err(self.failure)));
         }
         Poll::Ready(Some(Ok(Frame::data(data))))
@@ -183,7 +196,9 @@
         stream.reserve_capacity(data.len());
         // `poll_capacity` only reports an increase, so capacity that is left over comes first.
         while stream.capacity() == 0 {
-            poll_fn(|cx| stream.poll_capacity(cx)).await.ok_or(Error::Truncated)??;
+            poll_fn(|cx| stream.poll_capacity(cx))
+                .await
+                .ok_or(Error::Truncated)??;
         }
         let part = data.split_to(stream.capacity().min(data.len()));
         stream.send_data(part, end && data.is_empty())?;
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -28,7 +28,10 @@
 ///
 /// [`Error::Level`] for a level that `log` does not know; [`Error::AlreadySet`] on a second call.
 pub fn init(settings: &Log) -> Result<()> {
-    dispatch(settings)?.chain(std::io::stderr()).apply().map_err(|_| Error::AlreadySet)
+    dispatch(settings)?
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|_| Error::AlreadySet)
 }
 
 /// Returns the logger without an output, for [`init`] and for tests.
@@ -52,7 +55,9 @@
 
 /// Renders one record with its key-value pairs. Unix time in milliseconds.
 fn line(message: &Arguments<'_>, record: &Record<'_>) -> Value {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let mut fields = Map::new();
     fields.insert("time_ms".into(), (time.as_millis() as u64).into());
     fields.insert("level".into(), record.level().as_str().into());
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -97,21 +97,52 @@
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests of callers", self.requests.clone());
-        r.register("failures", "Failures towards callers", self.failures.clone());
+        r.register(
+            "failures",
+            "Failures towards callers",
+            self.failures.clone(),
+        );
         r.register("refusals", "Refusals of the owner", self.refusals.clone());
-        r.register("retries", "Further attempts of the ingress", self.retries.clone());
+        r.register(
+            "retries",
+            "Further attempts of the ingress",
+            self.retries.clone(),
+        );
         r.register("connections", "Open connections", self.connections.clone());
-        r.register("silent_connections", "Connections retired as silent", self.silent.clone());
-        r.register("platform_calls", "Calls of the platform", self.platform_calls.clone());
+        r.register(
+            "silent_connections",
+            "Connections retired as silent",
+            self.silent.clone(),
+        );
+        r.register(
+            "platform_calls",
+            "Calls of the platform",
+            self.platform_calls.clone(),
+        );
         let bytes = |r: &mut Registry, name: &str, help: &str, counter: &Counter| {
             r.register_with_unit(name, help, Unit::Bytes, counter.clone());
         };
-        bytes(r, "control_in", "Read from control connections", &self.control_in);
-        bytes(r, "control_out", "Written to control connections", &self.control_out);
+        bytes(
+            r,
+            "control_in",
+            "Read from control connections",
+            &self.control_in,
+        );
+        bytes(
+            r,
+            "control_out",
+            "Written to control connections",
+            &self.control_out,
+        );
         let time = |r: &mut Registry, name: &str, help: &str, histogram: &Histogram| {
             r.register_with_unit(name, help, Unit::Seconds, histogram.clone());
         };
-        time(r, "queue_time", "Time in the owner's queue", &self.queue_time);
+        time(
+            r,
+            "queue_time",
+            "Time in the owner's queue",
+            &self.queue_time,
+        );
         time(r, "service_time", "Time at the target", &self.service_time);
         time(r, "hop_time", "Time at the owner's daemon", &self.hop_time);
     }
--- a/crates/daemon/src/telemetry/traces.rs
+++ b/crates/daemon/src/telemetry/traces.rs
@@ -43,8 +43,11 @@
 impl Reporter for LogReporter {
     fn report(&mut self, spans: Vec<SpanRecord>) {
         for span in spans {
-            let properties: std::collections::BTreeMap<_, _> =
-                span.properties.iter().map(|(k, v)| (k.as_ref(), v.as_ref())).collect();
+            let properties: std::collections::BTreeMap<_, _> = span
+                .properties
+                .iter()
+                .map(|(k, v)| (k.as_ref(), v.as_ref()))
+                .collect();
             log::debug!(
                 target: LOG_TARGET,
                 trace = format!("{:032x}", span.trace_id.0),
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -245,6 +245,20 @@
         self.check();
     }
 
+    /// Takes over changed settings. The order stays as it was made, and requests that wait beyond
+    /// a lower length keep their places.
+    pub fn configure(&mut self, now: Duration, settings: Settings) {
+        let order = self.settings.order;
+        let length = settings.length.max(self.lanes.len());
+        self.settings = Settings {
+            order,
+            length,
+            ..settings
+        };
+        self.update_allowed(now);
+        self.check();
+    }
+
     /// Starts the ramp of a target that has just become ready and is cold.
     pub fn start_cold(&mut self, now: Duration) {
         self.limit.start_cold(now);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -230,6 +230,12 @@
     ShuttingDown,
     /// The retry budget is spent.
     RetryBudget,
+    /// The headers of the request exceed their bound.
+    HeadersTooLarge,
+    /// Too many requests of callers are in progress.
+    TooManyRequests,
+    /// Too many connections of callers are open.
+    TooManyConnections,
 }
 
 impl Reason {
@@ -255,6 +261,9 @@
             Self::Malformed => "malformed",
             Self::ShuttingDown => "shutting-down",
             Self::RetryBudget => "retry-budget",
+            Self::HeadersTooLarge => "headers-too-large",
+            Self::TooManyRequests => "too-many-requests",
+            Self::TooManyConnections => "too-many-connections",
         }
     }
 }
