Wire the daemon: thin path from caller to target and back

Cause: the parts had to run as separate processes before anything is built wide. Change: main reads and checks the settings, run starts and ends the parts in order.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -108,6 +108,11 @@
         until.checked_sub(self.node.clock.now())
     }
 
+    /// Returns the channel that says whether this daemon is the planner.
+    pub fn planning(&self) -> watch::Sender<bool> {
+        self.planning.clone()
+    }
+
     /// Passes an accepted configuration on to the daemons below this one in the tree.
     pub fn spread_config(self: &Arc<Self>) {
         let news = News {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,15 +7,21 @@
 //! - [`exchange`]: one request and its outcome.
 //! - [`peers`]: h2 between daemons.
 //! - [`owner`]: queue in front of the target, the target's client, the announce port.
+//! - [`ingress`]: the callers' port.
 //! - [`operators`]: answers to operators.
 //! - [`telemetry`]: logs, metrics, traces.
+//! - [`run`]: starts and ends the parts.
+//! - [`shutdown`]: end of the daemon that cuts off nothing.
 
 pub mod clock;
 pub mod control;
 pub mod exchange;
+pub mod ingress;
 pub mod meter;
 pub mod node;
 pub mod operators;
 pub mod owner;
 pub mod peers;
+pub mod run;
+pub mod shutdown;
 pub mod telemetry;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,49 @@
 //! The masticdeal daemon: one process beside each target.
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use masticdeal_config::settings::Settings;
+
+/// Routes requests to the servers that own their keys. One daemon runs beside each target.
+#[derive(FromArgs)]
+struct Args {
+    /// INI file with the settings
+    #[argh(option)]
+    config: String,
+
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let settings = match read(&args.config) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprint!("{message}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("{}: settings are valid", args.config);
+        return ExitCode::SUCCESS;
+    }
+    match masticdeald::run::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("masticdeald: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns the settings, or every fault on a line of its own.
+fn read(path: &str) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}\n"))?;
+    Settings::parse(&text, path).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("{fault}\n"));
+        lines.collect()
+    })
+}
--- a/crates/daemon/src/owner/answer.rs
+++ b/crates/daemon/src/owner/answer.rs
@@ -30,7 +30,7 @@
     /// Slot of the target.
     pub slot: Slot,
     /// Counts the request for its shard.
-    pub shard: Option<Entered>,
+    pub _shard: Option<Entered>,
 }
 
 impl Running {
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -87,7 +87,7 @@
             .shard
             .map(|shard| self.shards.enter(head.service, shard));
         let slot = self.admit(&head, &right, deadline).await?;
-        let target = self.ready_target(head.service)?;
+        let target = self.target_for(head.service)?;
         let epoch = right.epoch()?;
         let request = build(&head, body, epoch, &target.address, &hop)?;
         let job = Job {
@@ -113,22 +113,10 @@
             return Err(Failure::not_run(Reason::Deadline));
         }
         right.epoch()?;
-        self.ready_target(head.service)?;
-        let queue_length = self.queue_length(head.service);
-        self.admission.admit(queue_length, deadline).await
-    }
-
-    fn queue_length(&self, service: ServiceId) -> usize {
-        let limit = self.node.settings.limits.queue_length;
-        let table = self.node.table.borrow();
-        let deployment = self.node.deployment.borrow();
-        let name = table.service(service).map(|s| s.name.as_str());
-        let declared = deployment
-            .1
-            .services
-            .iter()
-            .find(|s| Some(s.name.as_str()) == name);
-        declared.map_or(limit, |s| s.queue_length.min(limit))
+        self.target_for(head.service)?;
+        let rules = self.node.rules_of(head.service);
+        let service = rules.as_ref().and_then(|(rules, name)| rules.service(name));
+        self.admission.admit(head, service, deadline).await
     }
 }
 
@@ -145,7 +133,7 @@
     async fn run(
         &self,
         mut request: http::Request<Body>,
-        slot: Slot,
+        mut slot: Slot,
         shard: Option<Entered>,
     ) -> Result<Answer, Failure> {
         let node = &self.owner.node;
@@ -169,6 +157,7 @@
             let failed = match sent {
                 Ok(response) => {
                     self.owner.health.answered();
+                    slot.note_head();
                     let pool = Arc::clone(&self.owner.pool);
                     let node = Arc::clone(node);
                     let running = Running {
@@ -176,7 +165,7 @@
                         pool,
                         connection,
                         slot,
-                        shard,
+                        _shard: shard,
                     };
                     return self.answer(response, running);
                 }
@@ -241,7 +230,9 @@
         running: Running,
     ) -> Result<Answer, Failure> {
         if let Some(failure) = refusal(&response) {
-            running.complete_refused();
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                running.slot.shed();
+            }
             return Err(failure);
         }
         if !ends_visibly(&response) {
@@ -263,13 +254,6 @@
     }
 }
 
-impl Running {
-    /// Ends a request that the target refused; its time says nothing about the target's work.
-    fn complete_refused(self) {
-        drop(self);
-    }
-}
-
 impl Owner {
     /// Treats the target as away until its next announcement.
     fn set_away(&self, address: SocketAddr) {
@@ -299,6 +283,11 @@
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.parse().ok());
     let retry_after = seconds.map(Duration::from_secs);
+    if status == StatusCode::PRECONDITION_FAILED {
+        // The target does not hold the grant for this epoch: it is on its way, or a newer owner
+        // has sent its own.
+        return Some(Failure::not_run(Reason::Moving));
+    }
     Some(Failure {
         retry_after,
         ..Failure::not_run(Reason::TargetRefused)
--- a/crates/daemon/src/peers/forward.rs
+++ b/crates/daemon/src/peers/forward.rs
@@ -159,7 +159,7 @@
             headers,
             load,
         } => {
-            let body = StreamBody::new(stream, rest, BodyError::PeerFailed, keep);
+            let body = StreamBody::boxed(stream, rest, BodyError::PeerFailed, keep);
             Outcome::Answer(Answer {
                 status,
                 headers,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -34,15 +34,6 @@
 /// Wait after a failed accept, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Paths of control messages.
-const CONTROL_PATHS: [&str; 5] = [
-    headers::PATH_RENEW,
-    headers::PATH_EXPIRED,
-    headers::PATH_DELTA,
-    headers::PATH_PULL,
-    headers::PATH_RELEASE,
-];
-
 /// Answers a control message: sender, path, and one whole frame of [`codec`] including its length
 /// prefix. The answer is a frame of the same form, as [`codec::encode`] makes it.
 pub type Control =
@@ -182,7 +173,7 @@
             let _running = self.node.in_progress.token();
             return self.forward(request.into_body(), respond).await;
         }
-        let Some(path) = CONTROL_PATHS.into_iter().find(|p| *p == path) else {
+        let Some(path) = headers::CONTROL_PATHS.into_iter().find(|p| *p == path) else {
             let _ = respond.send_response(status(StatusCode::NOT_FOUND), true);
             return;
         };
@@ -236,7 +227,7 @@
         };
         self.node.report(head.versions);
         let deadline = self.node.clock.now() + Duration::from_millis(head.deadline_ms.into());
-        let body = StreamBody::new(body, rest, BodyError::CallerFailed, ());
+        let body = StreamBody::boxed(body, rest, BodyError::CallerFailed, ());
         let request = Request {
             head,
             body,
--- a/crates/daemon/src/peers/stream.rs
+++ b/crates/daemon/src/peers/stream.rs
@@ -92,7 +92,12 @@
 impl StreamBody {
     /// Makes a body of `head` and the rest of `stream`. A stream that fails yields `failure`;
     /// `keep` is dropped with the body.
-    pub fn new(stream: RecvStream, head: Bytes, failure: BodyError, keep: impl Any + Send) -> Body {
+    pub fn boxed(
+        stream: RecvStream,
+        head: Bytes,
+        failure: BodyError,
+        keep: impl Any + Send,
+    ) -> Body {
         Self {
             stream,
             head,
