Test the lease core in random runs against fakes

The core had no test. The checker runs after each step, and no two targets may hold a valid grant for one shard.

--- /dev/null
+++ b/crates/ownership/tests/fake/faults.rs
@@ -0,0 +1,209 @@
+//! Faults and operations that a run contains.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticdeal_ownership::ids::ServiceId;
+use masticdeal_ownership::lease::{Event, MoveBy};
+use masticdeal_ownership::table::TargetState;
+use proptest::prelude::*;
+use rand::RngExt;
+
+use super::{Step, Target, World, ms};
+
+/// Keys whose owners are checked, with and without an override.
+pub const KEYS: [u64; 2] = [0x9abc_0000_0000_0001, 0x1234_0000_0000_0002];
+
+/// One fault or operation.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// The process stops for a while and goes on as though nothing happened.
+    Freeze(usize, u64),
+    FreezeAll(u64),
+    /// The process dies and another starts at the same address.
+    Restart(usize, u64),
+    /// The VM is lost and another with a new address takes its place.
+    Replace(usize, u64),
+    /// The VM is lost for good.
+    Kill(usize),
+    /// VMs in the mask cannot talk to the others; bit 31 stands for the platform.
+    Cut(u32, u64),
+    Down(u64),
+    Slow(u64),
+    LoseAnswers(u64),
+    /// Messages between VMs are late, reordered and lost.
+    Jam(u64),
+    /// The effects of the next event wait; with `true` the whole process does.
+    Stall(usize, u64, bool),
+    Move(usize, u32, usize, MoveBy),
+    Target(usize, TargetState),
+    Silent(usize, bool),
+    Leave(usize),
+    Override(usize, usize, Option<usize>),
+}
+
+/// Draws a plan: delays in milliseconds and faults.
+pub fn plan(vms: usize, shards: u32) -> impl Strategy<Value = Vec<(u64, Fault)>> {
+    let vm = || 0..vms;
+    let length = || prop_oneof![3 => 20u64..700, 2 => 400u64..2500];
+    let by = prop_oneof![Just(MoveBy::Owner), Just(MoveBy::Planner)];
+    let state = prop_oneof![
+        Just(TargetState::Ready),
+        Just(TargetState::Draining),
+        Just(TargetState::Away)
+    ];
+    let fault = prop_oneof![
+        4 => (vm(), length()).prop_map(|(v, l)| Fault::Freeze(v, l)),
+        1 => length().prop_map(Fault::FreezeAll),
+        3 => (vm(), length()).prop_map(|(v, l)| Fault::Restart(v, l)),
+        2 => (vm(), length()).prop_map(|(v, l)| Fault::Replace(v, l)),
+        6 => (any::<u32>(), length()).prop_map(|(m, l)| Fault::Cut(m, l)),
+        3 => length().prop_map(Fault::Down),
+        2 => length().prop_map(Fault::Slow),
+        3 => length().prop_map(Fault::LoseAnswers),
+        3 => length().prop_map(Fault::Jam),
+        4 => (vm(), length(), any::<bool>()).prop_map(|(v, l, f)| Fault::Stall(v, l, f)),
+        5 => (vm(), 0..shards, vm(), by).prop_map(|(p, s, t, b)| Fault::Move(p, s, t, b)),
+        2 => (vm(), state).prop_map(|(v, s)| Fault::Target(v, s)),
+        1 => (vm(), any::<bool>()).prop_map(|(v, s)| Fault::Silent(v, s)),
+        1 => vm().prop_map(Fault::Leave),
+        2 => (0..KEYS.len(), vm(), proptest::option::of(vm()))
+            .prop_map(|(k, v, t)| Fault::Override(k, v, t)),
+    ];
+    proptest::collection::vec((0u64..600, fault), 10..60)
+}
+
+impl World {
+    pub(super) fn fault(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::Freeze(vm, l) => self.freeze(vm, ms(l)),
+            Fault::FreezeAll(l) => (0..self.vms.len()).for_each(|vm| self.freeze(vm, ms(l))),
+            Fault::Restart(vm, l) => self.restart(vm, ms(l)),
+            Fault::Replace(vm, l) => {
+                if self.kill(vm) {
+                    self.replace(vm);
+                    self.at(ms(l), Step::Start(vm));
+                }
+            }
+            Fault::Kill(vm) => {
+                self.kill(vm);
+                let address = self.vms[vm].address;
+                self.addresses.remove(&address);
+            }
+            Fault::Cut(mask, l) => {
+                let id = self.rng.random_range(0..u64::MAX);
+                self.cuts.push((id, mask));
+                self.at(ms(l), Step::Heal(id));
+            }
+            Fault::Down(l) => self.platform.down_until = now + ms(l),
+            Fault::Slow(l) => self.platform.slow_until = now + ms(l),
+            Fault::LoseAnswers(l) => self.platform.lossy_until = now + ms(l),
+            Fault::Jam(l) => self.jam_until = now + ms(l),
+            Fault::Stall(vm, l, freeze) => self.vms[vm].stall = Some((ms(l), freeze)),
+            Fault::Move(planner, shard, to, by) => self.request_move(planner, shard, to, by),
+            Fault::Target(vm, state) => {
+                self.vms[vm].target = state;
+                self.announce(vm);
+            }
+            Fault::Silent(vm, silent) => {
+                self.vms[vm].silent = silent;
+                self.announce(vm);
+            }
+            Fault::Leave(vm) => {
+                self.deliver(vm, Event::LeaveRequested);
+                self.at(ms(2000), Step::Fault(Fault::Restart(vm, 100)));
+            }
+            Fault::Override(key, vm, to) => {
+                let to = to.and_then(|t| self.vms[t].core.as_ref()?.session());
+                let event = Event::OverrideRequested {
+                    service: ServiceId(0),
+                    key_hash: KEYS[key],
+                    to,
+                };
+                self.deliver(vm, event);
+            }
+        }
+    }
+
+    fn freeze(&mut self, vm: usize, length: Duration) {
+        let until = self.now + length;
+        if until > self.vms[vm].frozen_until {
+            self.vms[vm].frozen_until = until;
+            self.at(length, Step::Wake(vm));
+        }
+    }
+
+    fn restart(&mut self, vm: usize, after: Duration) {
+        if self.kill(vm) {
+            self.at(after, Step::Start(vm));
+        }
+    }
+
+    /// Ends the process. Returns `false` when there is none.
+    pub fn kill(&mut self, at: usize) -> bool {
+        let vm = &mut self.vms[at];
+        let ran = vm.core.take().is_some();
+        vm.process += 1;
+        vm.frozen_until = Duration::ZERO;
+        vm.stall = None;
+        if vm.away {
+            return false;
+        }
+        vm.away = ran;
+        ran
+    }
+
+    /// Puts another VM in the slot. The target of the lost one keeps its grants until they end,
+    /// since a cut-off VM looks the same.
+    fn replace(&mut self, at: usize) {
+        let port = 2000 + self.rng.random_range(0..60_000);
+        let address = SocketAddr::from(([127, 0, 1, at as u8], port));
+        let vm = &mut self.vms[at];
+        self.addresses.remove(&vm.address);
+        vm.address = address;
+        vm.name = format!("vm-{at}-{port}");
+        self.addresses.insert(address, at);
+        self.targets.push(Target {
+            vm: at,
+            ..Target::default()
+        });
+    }
+
+    /// Has an operator confirm every VM as lost whose process is gone.
+    pub fn confirm_lost(&mut self) {
+        let table = self.table();
+        let mine = |s: &&masticdeal_ownership::table::Session| {
+            let cores = self.vms.iter().filter_map(|vm| vm.core.as_ref());
+            !cores.filter_map(|c| c.session()).any(|id| id == s.id)
+        };
+        let lost: Vec<_> = table
+            .sessions
+            .iter()
+            .filter(mine)
+            .map(|s| s.vm.clone())
+            .collect();
+        let alive = self.vms.iter().position(|vm| vm.core.is_some());
+        for vm in lost {
+            if let Some(at) = alive {
+                self.deliver(at, Event::ConfirmLost { vm });
+            }
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        let now = self.now;
+        self.cuts.clear();
+        self.jam_until = now;
+        self.platform.down_until = now;
+        self.platform.slow_until = now;
+        self.platform.lossy_until = now;
+        for vm in 0..self.vms.len() {
+            self.vms[vm].stall = None;
+            self.vms[vm].silent = false;
+            self.vms[vm].target = TargetState::Ready;
+            self.announce(vm);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/tests/fake/platform.rs
@@ -0,0 +1,151 @@
+//! The platform's key-value service: one value with compare-and-swap, outages, slow answers, lost
+//! answers and writes that take effect late.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_ownership::checker;
+use masticdeal_ownership::ids::ChangeId;
+use masticdeal_ownership::lease::{Event, Outcome};
+use masticdeal_ownership::table::{self, Table};
+use rand::RngExt;
+
+use super::{Step, World, ms};
+
+/// Time after which a daemon gives up on a call.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// State of the service.
+#[derive(Debug, Default)]
+pub struct Platform {
+    pub table: Arc<Table>,
+    pub down_until: Duration,
+    pub slow_until: Duration,
+    pub lossy_until: Duration,
+    pub reads: u64,
+    pub writes: u64,
+    pub conflicts: u64,
+}
+
+/// A call that reaches the service.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub vm: usize,
+    pub process: u64,
+    pub sent: Duration,
+    pub kind: Kind,
+}
+
+/// What the call asks for.
+#[derive(Debug, Clone)]
+pub enum Kind {
+    Read(u64),
+    Swap(ChangeId, Arc<Table>),
+}
+
+impl World {
+    /// Sends a call on its way.
+    pub fn call_platform(&mut self, vm: usize, kind: Kind) {
+        let (process, sent) = (self.vms[vm].process, self.now);
+        let call = Call {
+            vm,
+            process,
+            sent,
+            kind,
+        };
+        let failed = failure(&call.kind);
+        self.at(TIMEOUT, Step::Own(vm, process, failed));
+        if !self.connected(vm, 31) {
+            return;
+        }
+        let mut delay = self.platform_delay();
+        if self.now < self.platform.down_until {
+            // A write may be queued somewhere and take effect after the outage.
+            if matches!(call.kind, Kind::Read(_)) || self.rng.random_bool(0.7) {
+                return;
+            }
+            delay += ms(self.rng.random_range(0..3000));
+        }
+        self.at(delay, Step::Platform(call));
+    }
+
+    fn platform_delay(&mut self) -> Duration {
+        let slow = self.now < self.platform.slow_until && self.rng.random_bool(0.6);
+        match slow {
+            true => ms(self.rng.random_range(0..1125)),
+            false => Duration::from_micros(self.rng.random_range(1000..5000)),
+        }
+    }
+
+    pub(super) fn platform_call(&mut self, call: Call) {
+        if self.now < self.platform.down_until && matches!(call.kind, Kind::Read(_)) {
+            return;
+        }
+        let answer = match call.kind {
+            Kind::Read(read) => {
+                self.platform.reads += 1;
+                let table = Some(self.platform.table.clone());
+                Event::TableRead { read, table }
+            }
+            Kind::Swap(change_id, next) => {
+                let outcome = self.write(next);
+                Event::SwapOutcome { change_id, outcome }
+            }
+        };
+        let lossy = self.now < self.platform.lossy_until && self.rng.random_bool(0.6);
+        if lossy || !self.connected(call.vm, 31) {
+            return;
+        }
+        let delay = self.platform_delay();
+        // The client gives up at its timeout and drops a later answer.
+        if self.now + delay < call.sent + TIMEOUT {
+            self.at(delay, Step::Own(call.vm, call.process, answer));
+        }
+    }
+
+    fn write(&mut self, next: Arc<Table>) -> Outcome {
+        if next.version != self.platform.table.version + 1 {
+            self.platform.conflicts += 1;
+            return Outcome::Conflict;
+        }
+        self.platform.writes += 1;
+        let checked = checker::check_table(&next)
+            .and_then(|()| checker::check_step(&self.platform.table, &next));
+        if let Err(violation) = checked {
+            self.violation(format!("platform: {violation}"));
+        }
+        if self.setup.checks {
+            let bytes = table::encode(&next).expect("table encodes");
+            let same = table::decode(&bytes).is_ok_and(|back| back == *next);
+            if !same {
+                self.violation("table does not survive its codec".into());
+            }
+        }
+        self.platform.table = next.clone();
+        for vm in 0..self.vms.len() {
+            // Some daemons watch the platform.
+            if self.connected(vm, 31)
+                && self.vms[vm].watches
+                && self.now >= self.platform.down_until
+            {
+                let delay = self.platform_delay();
+                self.at(delay, Step::Event(vm, Event::TableLearned(next.clone())));
+            }
+        }
+        Outcome::Done
+    }
+}
+
+/// What the daemon concludes when no answer comes.
+fn failure(kind: &Kind) -> Event {
+    match kind {
+        Kind::Read(read) => Event::TableRead {
+            read: *read,
+            table: None,
+        },
+        Kind::Swap(change_id, _) => Event::SwapOutcome {
+            change_id: *change_id,
+            outcome: Outcome::Unknown,
+        },
+    }
+}
--- /dev/null
+++ b/crates/ownership/tests/fake/vm.rs
@@ -0,0 +1,404 @@
+//! A VM: its clock, the process of the daemon, and the target.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_ownership::lease::{
+    Core, Declared, Effect, Event, Held, Identity, MoveBy, TargetReport,
+};
+use masticdeal_ownership::table::TargetState;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use super::platform::Kind;
+use super::{Setup, Step, World, ms};
+
+/// A boot-time clock that runs at its own rate.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    offset: Duration,
+    rate: f64,
+}
+
+impl Clock {
+    pub fn local(&self, real: Duration) -> Duration {
+        self.offset + real.mul_f64(self.rate)
+    }
+
+    pub fn real(&self, local: Duration) -> Duration {
+        local.saturating_sub(self.offset).div_f64(self.rate)
+    }
+}
+
+pub struct Vm {
+    pub name: String,
+    pub place: (&'static str, &'static str),
+    pub address: SocketAddr,
+    pub clock: Clock,
+    pub core: Option<Core>,
+    /// Counts the processes of this slot.
+    pub process: u64,
+    pub frozen_until: Duration,
+    pub inbox: Vec<(u64, Event)>,
+    /// The effects of the next event wait this long.
+    pub stall: Option<(Duration, bool)>,
+    pub asked: BTreeSet<(SessionId, u64)>,
+    pub watches: bool,
+    pub target: TargetState,
+    pub silent: bool,
+    /// Planner that asked for the release of a shard, and the next owner.
+    pub planners: BTreeMap<(u32, u32), (usize, SessionId)>,
+    drains: Vec<(Held, u64, bool)>,
+    sequence: u64,
+    tick_at: Option<Duration>,
+    pub ended: u64,
+    pub away: bool,
+}
+
+impl Vm {
+    pub fn new(at: usize, setup: &Setup, rng: &mut SmallRng) -> Self {
+        let rate = 1.0 + setup.drift * rng.random_range(-1.0..1.0);
+        Self {
+            name: format!("vm-{at}"),
+            place: setup.places[at],
+            address: SocketAddr::from(([127, 0, 0, 1], 1000 + at as u16)),
+            clock: Clock {
+                offset: ms(rng.random_range(1_000..100_000)),
+                rate,
+            },
+            core: None,
+            process: 0,
+            frozen_until: Duration::ZERO,
+            inbox: Vec::new(),
+            stall: None,
+            asked: BTreeSet::new(),
+            watches: at < 2,
+            target: TargetState::Ready,
+            silent: false,
+            planners: BTreeMap::new(),
+            drains: Vec::new(),
+            sequence: 0,
+            tick_at: None,
+            ended: 0,
+            away: false,
+        }
+    }
+
+    pub fn frozen(&self, now: Duration) -> bool {
+        now < self.frozen_until
+    }
+}
+
+impl World {
+    /// Starts a process on the VM.
+    pub(super) fn start(&mut self, at: usize) {
+        let seed = self.rng.random_range(0..u64::MAX);
+        let (now, settings) = (self.now, self.setup.settings.clone());
+        let shards = self.setup.shards;
+        let vm = &mut self.vms[at];
+        vm.away = false;
+        vm.process += 1;
+        vm.tick_at = None;
+        vm.inbox.clear();
+        vm.drains.clear();
+        vm.planners.clear();
+        vm.asked.clear();
+        vm.target = TargetState::Ready;
+        vm.core = Some(Core::new(
+            settings,
+            Identity {
+                incarnation: seed ^ 1,
+                vm: vm.name.clone(),
+                address: vm.address,
+                region: vm.place.0.into(),
+                data_centre: vm.place.1.into(),
+                bound_at: vm.clock.local(now),
+                seed,
+            },
+        ));
+        let declared = Declared {
+            name: "search".into(),
+            shards,
+        };
+        self.deliver(at, Event::ServicesDeclared(vec![declared]));
+        self.announce(at);
+    }
+
+    /// Reports the target to the daemon.
+    pub fn announce(&mut self, at: usize) {
+        let vm = &self.vms[at];
+        let report = TargetReport {
+            service: "search".into(),
+            slots: 6,
+            checks_grants: true,
+            state: vm.target,
+            capacity: 0,
+        };
+        let report = (!vm.silent).then_some(report);
+        self.deliver(at, Event::TargetChanged(report));
+    }
+
+    pub(super) fn tick(&mut self, vm: usize, at: u64) {
+        let own = &mut self.vms[vm];
+        if own.tick_at.is_some_and(|t| t.as_nanos() as u64 == at) {
+            own.tick_at = None;
+            self.deliver(vm, Event::Tick);
+        }
+    }
+
+    /// Delivers an event to the process of a VM, or keeps it while the process is frozen.
+    pub fn deliver(&mut self, at: usize, event: Event) {
+        let now = self.now;
+        let vm = &mut self.vms[at];
+        let Some(core) = &mut vm.core else { return };
+        if now < vm.frozen_until {
+            if vm.inbox.len() < 500 {
+                vm.inbox.push((vm.process, event));
+            }
+            return;
+        }
+        if let Event::RenewReply {
+            lessor, sequence, ..
+        } = &event
+        {
+            vm.asked.remove(&(*lessor, *sequence));
+        }
+        let effects = core.handle(vm.clock.local(now), event);
+        let process = vm.process;
+        match vm.stall.take_if(|_| !effects.is_empty()) {
+            Some((stall, freeze)) => {
+                if freeze {
+                    vm.frozen_until = now + stall;
+                    self.at(stall, Step::Wake(at));
+                }
+                self.at(stall, Step::Effects(at, process, effects));
+            }
+            None => self.perform_all(at, effects),
+        }
+        self.plan_tick(at);
+    }
+
+    fn plan_tick(&mut self, at: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[at];
+        let Some(deadline) = vm.core.as_ref().and_then(|c| c.next_deadline()) else {
+            return;
+        };
+        let real = vm.clock.real(deadline) + Duration::from_nanos(100);
+        let real = real.max(now + Duration::from_micros(200));
+        if vm.tick_at.is_none_or(|t| real < t || t < now) {
+            vm.tick_at = Some(real);
+            self.at(real - now, Step::Tick(at, real.as_nanos() as u64));
+        }
+    }
+
+    pub(super) fn wake(&mut self, at: usize) {
+        if self.vms[at].frozen(self.now) {
+            return;
+        }
+        for (process, event) in std::mem::take(&mut self.vms[at].inbox) {
+            if process == self.vms[at].process {
+                self.deliver(at, event);
+            }
+        }
+        self.deliver(at, Event::Tick);
+    }
+
+    pub(super) fn perform_all(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            self.perform(at, effect);
+        }
+    }
+
+    fn perform(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::SendRenew(renewal) => {
+                let (lessor, sequence) = (renewal.lessor, renewal.sequence);
+                self.vms[at].asked.insert((lessor, sequence));
+                // Some requests are left open, so that late answers still meet them.
+                if self.rng.random_bool(0.6) {
+                    let process = self.vms[at].process;
+                    self.at(
+                        self.setup.settings.renew,
+                        Step::RenewTimeout(at, process, lessor, sequence),
+                    );
+                }
+                self.send(at, lessor, Event::RenewRequest(renewal));
+            }
+            Effect::ReplyRenew {
+                renewal,
+                granted,
+                version,
+            } => {
+                let reply = Event::RenewReply {
+                    lessor: renewal.lessor,
+                    sequence: renewal.sequence,
+                    granted,
+                    version,
+                };
+                self.send(at, renewal.lessee, reply);
+            }
+            Effect::SendExpired(expiry) => self.send(at, expiry.to, Event::ExpiredRequest(expiry)),
+            Effect::ReplyExpired {
+                expiry,
+                committed,
+                version,
+            } => {
+                let reply = Event::ExpiredReply {
+                    expiry,
+                    committed,
+                    version,
+                };
+                self.send(at, expiry.from, reply);
+            }
+            Effect::Swap { delta, next } => {
+                self.call_platform(at, Kind::Swap(delta.change_id, next));
+            }
+            Effect::ReadTable { read } => self.call_platform(at, Kind::Read(read)),
+            Effect::Pull { from } => self.ask_pull(at, from),
+            Effect::TableChanged(table) => self.spread_table(at, &table),
+            Effect::DrainShard(held) => self.drain(at, held),
+            Effect::DrainKey {
+                service,
+                key_hash,
+                epoch,
+            } => {
+                let process = self.vms[at].process;
+                let event = Event::KeyDrained {
+                    service,
+                    key_hash,
+                    epoch,
+                };
+                self.at(ms(5), Step::Own(at, process, event));
+            }
+            Effect::GrantsChanged => {
+                self.send_grants(at);
+            }
+            Effect::Ended(_) => self.vms[at].ended += 1,
+            Effect::Journal(_) | Effect::Joined(_) => {}
+        }
+    }
+
+    fn ask_pull(&mut self, at: usize, from: SessionId) {
+        let address = self.vms[at]
+            .core
+            .as_ref()
+            .and_then(|c| c.table().session(from).map(|s| s.address));
+        let asked = address.and_then(|a| self.addresses.get(&a).copied());
+        if let Some(asked) = asked
+            && let Some(delay) = self.travel(at, asked)
+        {
+            self.at(delay, Step::Pull(at, asked));
+        }
+    }
+
+    /// Passes a table that this process wrote on to the others.
+    fn spread_table(
+        &mut self,
+        at: usize,
+        table: &std::sync::Arc<masticdeal_ownership::table::Table>,
+    ) {
+        if table.version != self.platform.table.version {
+            return;
+        }
+        for to in 0..self.vms.len() {
+            if to != at
+                && let Some(delay) = self.travel(at, to)
+            {
+                self.at(delay, Step::Event(to, Event::TableLearned(table.clone())));
+            }
+        }
+    }
+
+    fn send_grants(&mut self, at: usize) -> u64 {
+        let now = self.now;
+        let vm = &mut self.vms[at];
+        let Some(core) = &vm.core else { return 0 };
+        vm.sequence += 1;
+        let grants = core.grants(vm.clock.local(now));
+        let (process, sequence) = (vm.process, vm.sequence);
+        let slow = self.rng.random_bool(0.02);
+        let delay = match slow && self.setup.drop > 0.0 {
+            true => ms(self.rng.random_range(0..800)),
+            false => Duration::from_micros(200),
+        };
+        let target = self.targets.iter().rposition(|t| t.vm == at);
+        if let Some(target) = target {
+            self.at(delay, Step::Grant(target, process, sequence, grants));
+        }
+        sequence
+    }
+
+    fn drain(&mut self, at: usize, held: Held) {
+        let sequence = self.send_grants(at);
+        let abandon = self.rng.random_bool(0.1);
+        self.vms[at].drains.push((held, sequence, abandon));
+    }
+
+    /// Reports shards as drained once the target took the grant without them.
+    pub(super) fn drained(&mut self, at: usize, sequence: u64) {
+        let (done, open) = std::mem::take(&mut self.vms[at].drains)
+            .into_iter()
+            .partition(|(_, needs, _)| *needs <= sequence);
+        self.vms[at].drains = open;
+        let process = self.vms[at].process;
+        for (held, _, abandon) in done {
+            let work = ms(self.rng.random_range(0..30));
+            if abandon && self.rng.random_bool(0.5) {
+                self.at(work, Step::Own(at, process, Event::MoveAbandoned(held)));
+                continue;
+            }
+            self.at(work, Step::Own(at, process, Event::ShardDrained(held)));
+            let planner = self.vms[at].planners.remove(&(held.shard.0, held.epoch.0));
+            let me = self.vms[at].core.as_ref().and_then(|c| c.session());
+            if let (Some((planner, to)), Some(from)) = (planner, me)
+                && let Some(delay) = self.travel(at, planner)
+            {
+                let late = match self.rng.random_bool(0.3) {
+                    true => ms(self.rng.random_range(0..1500)),
+                    false => Duration::ZERO,
+                };
+                let event = Event::MoveReleased { held, from, to };
+                self.at(work + delay + late, Step::Event(planner, event));
+            }
+            if abandon {
+                self.at(work * 2, Step::Own(at, process, Event::MoveAbandoned(held)));
+            }
+        }
+    }
+
+    /// Asks an owner to give a shard up.
+    pub(super) fn request_move(&mut self, planner: usize, shard: u32, to: usize, by: MoveBy) {
+        let Some(core) = &self.vms[planner].core else {
+            return;
+        };
+        let table = core.table().clone();
+        let Some(known) = table
+            .services
+            .first()
+            .and_then(|s| s.shards.get(shard as usize))
+        else {
+            return;
+        };
+        let to = self.vms[to].core.as_ref().and_then(|c| c.session());
+        let (Some(owner), Some(to)) = (known.owner, to) else {
+            return;
+        };
+        let held = Held {
+            service: masticdeal_ownership::ids::ServiceId(0),
+            shard: masticdeal_ownership::ids::ShardId(shard),
+            epoch: known.epoch,
+        };
+        let address = table.session(owner).map(|s| s.address);
+        let owner_vm = address.and_then(|a| self.addresses.get(&a).copied());
+        if let Some(vm) = owner_vm
+            && by == MoveBy::Planner
+        {
+            let key = (shard, held.epoch.0);
+            self.vms[vm].planners.insert(key, (planner, to));
+        }
+        self.send(planner, owner, Event::MoveRequested { held, to, by });
+    }
+}
