--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+pub use crate::fault::Fault;
+
 /// The most shards that all services may have together; the assignment table has the same bound.
 pub const MAX_SHARDS: usize = 65_536;
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::fault::Fault;
+
 /// All settings of one daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Settings {
