Add the command-line tool

Cause: operators need to ask, command, check files and change the configuration from a shell, and to learn what became of a change whose answer was lost.

Ruled out: reading back alone after a lost answer, since a later change hides one's own; and a new change id per attempt, with which a retry of an accepted change looks like a conflict. The same change is sent again under the same id instead. A file that names no revision replaces whatever stands; a file that `config` printed names its revision, so that an older file cannot take back another operator's change unseen.

Change: ask (also as plain words, or lines from standard input), apply, config, check, watch; several daemons; documented exit codes. A command goes to the next daemon only when it was provably not sent. Text in headers and UTC times moved to the language crate, which daemon and tool share. rand is a dependency of the tool, for change ids.

Conclusion: of two conflicting changes none is lost silently, as far as the daemons remember accepted ids.

--- /dev/null
+++ b/crates/cli/src/apply.rs
@@ -0,0 +1,224 @@
+//! The subcommand `apply`: preview, question, write, and the wait until the change is in force.
+
+use std::time::Duration;
+
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::diff::{Difference, diff};
+use masticdeal_language::Utc;
+use serde::Serialize;
+
+use crate::args::{Apply, Cli};
+use crate::change::{Committed, Conflict, Current, Plan, Request, commit, prepare};
+use crate::client::Client;
+use crate::error::{Error, Exit, Result};
+use crate::{files, in_force, preview};
+
+/// Completes what the other change did from the configuration that stood before.
+async fn explain(client: &Client, plan: &Plan, conflict: &mut Conflict) {
+    if !conflict.differences.is_empty() || plan.if_revision != plan.current.revision {
+        return;
+    }
+    let Ok(now) = Current::read(client).await else {
+        return;
+    };
+    let texts = (
+        Deployment::parse(&plan.current.text),
+        Deployment::parse(&now.text),
+    );
+    if let (Ok(before), Ok(after)) = texts {
+        conflict.differences = diff(&before, &after);
+    }
+}
+
+/// Result of the subcommand in JSON.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+enum Report<'a> {
+    Unchanged {
+        revision: u64,
+    },
+    Preview {
+        if_revision: u64,
+        differences: &'a [Difference],
+    },
+    Accepted {
+        revision: u64,
+        in_force: usize,
+        daemons: usize,
+    },
+    Conflict {
+        conflict: &'a Conflict,
+        kept: String,
+    },
+    Faults {
+        faults: &'a [String],
+    },
+}
+
+impl Report<'_> {
+    /// Prints the JSON, or the lines.
+    fn print(&self, json: bool, lines: &[String]) {
+        if json {
+            println!("{}", serde_json::to_string(self).unwrap_or_default());
+        } else {
+            lines.iter().for_each(|line| println!("{line}"));
+        }
+    }
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Any [`Error`] of [`prepare`] and [`commit`].
+pub async fn run(cli: &Cli, client: &Client, apply: &Apply) -> Result<Exit> {
+    let text = files::read(&apply.file)?;
+    let request = Request {
+        text: &text,
+        if_revision: apply.if_revision,
+        change_id: apply.change_id,
+        author: cli.author()?,
+    };
+    let plan = match prepare(client, request).await {
+        Ok(plan) => plan,
+        Err(Error::Faults(faults)) => return Ok(report_local_faults(cli, apply, faults)),
+        Err(other) => return Err(other),
+    };
+    if plan.differences.is_empty() && apply.change_id.is_none() {
+        let revision = plan.current.revision;
+        let line = format!("nothing to change: revision {revision} says the same");
+        Report::Unchanged { revision }.print(cli.json, &[line]);
+        return Ok(Exit::Ok);
+    }
+    if !cli.json || apply.preview {
+        print_preview(cli, &plan);
+    }
+    if let (Some(conflict), None) = (plan.overtaken(), apply.change_id) {
+        return report_conflict(cli, apply, &conflict, &text);
+    }
+    if apply.preview {
+        return Ok(Exit::Ok);
+    }
+    if !apply.yes && !confirmed()? {
+        return Err(Error::Usage(
+            "not applied; repeat with --yes to apply".into(),
+        ));
+    }
+    match commit(client, &plan).await? {
+        Committed::Accepted(revision) => accepted(cli, client, apply, revision).await,
+        Committed::Conflict(mut conflict) => {
+            explain(client, &plan, &mut conflict).await;
+            report_conflict(cli, apply, &conflict, &text)
+        }
+        Committed::Faults(faults) => Ok(report_faults(cli, &faults)),
+    }
+}
+
+fn report_local_faults(cli: &Cli, apply: &Apply, faults: Vec<masticdeal_config::Fault>) -> Exit {
+    let file = apply.file.display().to_string();
+    let named = faults.into_iter().map(|mut fault| {
+        fault.file.clone_from(&file);
+        fault.to_string()
+    });
+    report_faults(cli, &named.collect::<Vec<_>>())
+}
+
+fn report_faults(cli: &Cli, faults: &[String]) -> Exit {
+    if cli.json {
+        Report::Faults { faults }.print(true, &[]);
+    } else {
+        faults.iter().for_each(|fault| eprintln!("{fault}"));
+        eprintln!("masticdeal: not applied, nothing changed");
+    }
+    Exit::Refused
+}
+
+fn print_preview(cli: &Cli, plan: &Plan) {
+    let Plan {
+        if_revision,
+        differences,
+        new,
+        ..
+    } = plan;
+    let mut lines = vec![format!("changes on revision {if_revision}:")];
+    lines.extend(
+        preview::lines(differences, new)
+            .iter()
+            .map(|line| format!("  {line}")),
+    );
+    let if_revision = *if_revision;
+    Report::Preview {
+        if_revision,
+        differences,
+    }
+    .print(cli.json, &lines);
+}
+
+fn confirmed() -> Result<bool> {
+    use std::io::{IsTerminal, Write};
+    let stdin = std::io::stdin();
+    if !stdin.is_terminal() {
+        return Ok(false);
+    }
+    let fault = |cause| Error::File {
+        path: "terminal".into(),
+        cause,
+    };
+    print!("apply? [y/N] ");
+    std::io::stdout().flush().map_err(fault)?;
+    let mut line = String::new();
+    stdin.read_line(&mut line).map_err(fault)?;
+    Ok(matches!(line.trim(), "y" | "Y" | "yes"))
+}
+
+fn report_conflict(cli: &Cli, apply: &Apply, conflict: &Conflict, text: &str) -> Result<Exit> {
+    let Conflict {
+        revision,
+        author,
+        time_ms,
+        differences,
+        ..
+    } = conflict;
+    let kept = files::keep_refused(&apply.file, *revision, text)?;
+    let kept = kept.display().to_string();
+    let lines = [
+        format!(
+            "conflict, nothing changed: revision {revision} by {author}, {}",
+            Utc(*time_ms)
+        ),
+        format!("that change: {}", preview::summary(differences)),
+        format!("your text is kept in {kept}; take it up from `masticdeal config`"),
+    ];
+    if !cli.json {
+        lines.iter().for_each(|line| eprintln!("{line}"));
+    } else {
+        Report::Conflict { conflict, kept }.print(true, &[]);
+    }
+    Ok(Exit::Conflict)
+}
+
+/// Waits until the change is in force. The change stands, so the wait has no error.
+async fn accepted(cli: &Cli, client: &Client, apply: &Apply, revision: u64) -> Result<Exit> {
+    if !cli.json {
+        println!("accepted as revision {revision}");
+    }
+    let bound = Duration::from_millis(apply.wait_ms.min(600_000));
+    let progress = in_force::wait(client, revision, bound, |progress| {
+        if !cli.json {
+            println!("{progress}");
+        }
+    })
+    .await;
+    let (in_force, daemons) = (progress.holding, progress.daemons);
+    if cli.json {
+        Report::Accepted {
+            revision,
+            in_force,
+            daemons,
+        }
+        .print(true, &[]);
+    } else if let Some(line) = progress.shortfall() {
+        println!("{line}");
+    }
+    Ok(Exit::Ok)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,8 @@
-//! Placeholder.
-fn main() {}
+//! The command-line tool of masticdeal.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    masticdeal::run(&args).into()
+}
--- /dev/null
+++ b/crates/cli/src/show.rs
@@ -0,0 +1,108 @@
+//! The configuration in force, and checks of files.
+
+use masticdeal_config::Fault;
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::settings::Settings;
+use serde::Serialize;
+
+use crate::args::{Check, Cli, Kind};
+use crate::change::Current;
+use crate::client::Client;
+use crate::error::{Exit, Result};
+use crate::files;
+
+#[derive(Serialize)]
+struct Config<'a> {
+    revision: u64,
+    author: &'a str,
+    time_ms: u64,
+    change_id: u64,
+    text: &'a str,
+}
+
+/// Prints the configuration.
+///
+/// # Errors
+///
+/// Any error of reading it.
+pub async fn config(cli: &Cli, client: &Client) -> Result<Exit> {
+    let current = Current::read(client).await?;
+    if !cli.json {
+        print!("{}", current.with_revision_line());
+        return Ok(Exit::Ok);
+    }
+    let Current {
+        revision,
+        author,
+        time_ms,
+        change_id,
+        text,
+    } = &current;
+    let (revision, time_ms, change_id) = (*revision, *time_ms, *change_id);
+    let config = Config {
+        revision,
+        author,
+        time_ms,
+        change_id,
+        text,
+    };
+    println!("{}", serde_json::to_string(&config).unwrap_or_default());
+    Ok(Exit::Ok)
+}
+
+#[derive(Serialize)]
+struct Checked<'a> {
+    valid: bool,
+    faults: &'a [Fault],
+}
+
+/// Checks a file without asking a daemon.
+///
+/// # Errors
+///
+/// [`crate::Error::File`] when it cannot be read.
+pub fn check(cli: &Cli, check: &Check) -> Result<Exit> {
+    let text = files::read(&check.file)?;
+    let name = check.file.display().to_string();
+    let kind = check.kind.unwrap_or_else(|| guess(&text));
+    let faults = match kind {
+        Kind::Settings => Settings::parse(&text, &name).err(),
+        Kind::Deployment => Deployment::parse(&text).err(),
+    };
+    let mut faults = faults.unwrap_or_default();
+    faults
+        .iter_mut()
+        .for_each(|fault| fault.file.clone_from(&name));
+    let valid = faults.is_empty();
+    if cli.json {
+        let checked = Checked {
+            valid,
+            faults: &faults,
+        };
+        println!("{}", serde_json::to_string(&checked).unwrap_or_default());
+    } else if valid {
+        let kind = if kind == Kind::Settings {
+            "settings"
+        } else {
+            "deployment configuration"
+        };
+        println!("{name}: valid {kind}");
+    } else {
+        faults.iter().for_each(|fault| eprintln!("{fault}"));
+    }
+    Ok(if valid { Exit::Ok } else { Exit::Refused })
+}
+
+/// Returns the kind that the sections of a file look like.
+fn guess(text: &str) -> Kind {
+    const SECTIONS: [&str; 4] = ["[daemon]", "[listen]", "[platform]", "[secret]"];
+    let is_settings = |line: &str| {
+        SECTIONS
+            .iter()
+            .any(|section| line.trim().starts_with(section))
+    };
+    if text.lines().any(is_settings) {
+        return Kind::Settings;
+    }
+    Kind::Deployment
+}
--- /dev/null
+++ b/crates/cli/src/watch.rs
@@ -0,0 +1,171 @@
+//! Live view of load and decisions as plain lines.
+
+use std::time::Duration;
+
+use http::Method;
+use masticdeal_language::{Sentence, Utc};
+use serde::{Deserialize, Serialize};
+
+use crate::args::{Cli, Watch};
+use crate::ask;
+use crate::client::{Call, Client};
+use crate::error::{Error, Exit, Result};
+
+/// Shortest time between two refreshes, so that a view does not load the daemons.
+const MIN_INTERVAL_MS: u64 = 200;
+/// Longest time between two refreshes.
+const MAX_INTERVAL_MS: u64 = 600_000;
+/// Most refreshes of one run.
+const MAX_COUNT: u32 = 86_400;
+/// Refreshes without an answer after which the view ends.
+const MAX_FAILURES: u32 = 10;
+/// Targets per refresh; the answer has the busiest first.
+const MAX_TARGETS: usize = 20;
+/// How far back the first refresh shows decisions, in seconds.
+const FIRST_SPAN_S: u64 = 60;
+
+#[derive(Debug, Deserialize)]
+struct Load {
+    targets: Vec<Target>,
+}
+
+/// Load of one target, as the daemons answer it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Target {
+    vm: String,
+    service: String,
+    running: u16,
+    queued: u16,
+    slots: u16,
+    service_us: u32,
+    age_ms: u64,
+}
+
+impl std::fmt::Display for Target {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            vm,
+            service,
+            running,
+            queued,
+            slots,
+            service_us,
+            ..
+        } = self;
+        let service_ms = f64::from(*service_us) / 1e3;
+        write!(
+            f,
+            "load {vm} {service}: {running}/{slots} running, {queued} waiting, "
+        )?;
+        write!(f, "{service_ms:.1} ms each")
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Changes {
+    decisions: Vec<Decision>,
+}
+
+/// A decision, as the daemons answer it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Decision {
+    time_ms: u64,
+    table_version: u64,
+    config_revision: u64,
+    what: String,
+    cause: String,
+}
+
+impl std::fmt::Display for Decision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            time_ms,
+            what,
+            cause,
+            ..
+        } = self;
+        write!(f, "decision {}: {what} because {cause}", Utc(*time_ms))
+    }
+}
+
+/// One refresh in JSON.
+#[derive(Debug, Serialize)]
+struct Refresh<'a> {
+    load: &'a [Target],
+    decisions: &'a [Decision],
+}
+
+/// Runs the live view.
+///
+/// # Errors
+///
+/// [`Error::Usage`] for options out of bounds, and the last error when no daemon answers for
+/// several refreshes.
+pub async fn run(cli: &Cli, client: &Client, watch: &Watch) -> Result<Exit> {
+    let bounds = (MIN_INTERVAL_MS..=MAX_INTERVAL_MS, 1..=MAX_COUNT);
+    if !bounds.0.contains(&watch.interval_ms) || !bounds.1.contains(&watch.count) {
+        return Err(Error::Usage(format!(
+            "expected --interval-ms {MIN_INTERVAL_MS} to {MAX_INTERVAL_MS} and --count 1 to \
+             {MAX_COUNT}"
+        )));
+    }
+    let mut seen: Vec<Decision> = Vec::new();
+    let mut failures = 0;
+    for refresh in 0..watch.count {
+        if refresh > 0 {
+            tokio::time::sleep(Duration::from_millis(watch.interval_ms)).await;
+        }
+        match look(client, watch).await {
+            Ok((load, held)) => {
+                failures = 0;
+                let new: Vec<Decision> =
+                    held.iter().filter(|d| !seen.contains(d)).cloned().collect();
+                print(cli, &load, &new);
+                seen = held;
+            }
+            Err(error @ (Error::Unauthorized { .. } | Error::Status { .. })) => return Err(error),
+            Err(error) => {
+                failures += 1;
+                if failures >= MAX_FAILURES || refresh + 1 == watch.count {
+                    return Err(error);
+                }
+                eprintln!("masticdeal: {error}");
+            }
+        }
+    }
+    Ok(Exit::Ok)
+}
+
+/// Returns the busiest targets, and the decisions of a span that covers several refreshes.
+async fn look(client: &Client, watch: &Watch) -> Result<(Vec<Target>, Vec<Decision>)> {
+    let service = watch.service.clone();
+    let mut load: Load = ask_json(client, &Sentence::ShowLoad { service }).await?;
+    load.targets.truncate(MAX_TARGETS);
+    let since = Duration::from_secs(FIRST_SPAN_S.max(watch.interval_ms.div_ceil(1_000) * 4));
+    let changes: Changes = ask_json(client, &Sentence::ShowChanges { since: Some(since) }).await?;
+    Ok((load.targets, changes.decisions))
+}
+
+async fn ask_json<T: serde::de::DeserializeOwned>(
+    client: &Client,
+    sentence: &Sentence,
+) -> Result<T> {
+    let call = Call::with_body(Method::POST, ask::PATH, sentence.to_string())
+        .header("accept", "application/json")
+        .repeatable(true);
+    let answer = client.call(&call).await?;
+    if answer.status.as_u16() != 200 {
+        return Err(answer.unexpected());
+    }
+    answer.json()
+}
+
+fn print(cli: &Cli, load: &[Target], decisions: &[Decision]) {
+    if cli.json {
+        let refresh = Refresh { load, decisions };
+        println!("{}", serde_json::to_string(&refresh).unwrap_or_default());
+        return;
+    }
+    decisions.iter().for_each(|decision| println!("{decision}"));
+    load.iter().for_each(|target| println!("{target}"));
+}
--- /dev/null
+++ b/crates/cli/tests/fake/mod.rs
@@ -0,0 +1,209 @@
+//! A daemon's operators port for tests: a compare-and-swap store with planned faults.
+
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use masticdeal_config::deployment::Deployment;
+
+pub const SECRET: &str = "operator-secret-of-tests";
+pub const KOCAELI: &str = include_str!("../../../../examples/kocaeli.ini");
+
+/// What goes wrong with one write.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    None,
+    /// The connection closes before the write takes effect.
+    LoseRequest,
+    /// The write takes effect, and the connection closes without an answer.
+    LoseAnswer,
+    /// The write takes effect, and the answer is 503.
+    Unavailable,
+}
+
+/// One accepted change.
+#[derive(Debug, Clone)]
+pub struct Accepted {
+    pub revision: u64,
+    pub author: String,
+    pub change_id: u64,
+    pub text: String,
+}
+
+/// State of the store, and what was asked.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub history: Vec<Accepted>,
+    pub faults: VecDeque<Fault>,
+    /// Answers to sentences: status and JSON or text.
+    pub answers: HashMap<String, (u16, String)>,
+    /// Subjects that came with sentences.
+    pub subjects: Vec<Option<String>>,
+    /// Revisions that the daemons hold, one list per look; the last one stays.
+    pub peers: VecDeque<Vec<Option<u64>>>,
+}
+
+pub type Shared = Arc<Mutex<Store>>;
+
+/// Makes a store whose first revision is the Kocaeli example, by Ayşe.
+pub fn store() -> Shared {
+    let first = Accepted {
+        revision: 1,
+        author: "Ayşe".into(),
+        change_id: 7,
+        text: KOCAELI.into(),
+    };
+    Arc::new(Mutex::new(Store {
+        history: vec![first],
+        ..Store::default()
+    }))
+}
+
+/// Serves the store on a loopback port until the runtime ends.
+pub async fn serve(store: Shared) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let store = store.clone();
+            let service = service_fn(move |req| handle(store.clone(), req));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    address
+}
+
+type Reply = Result<Response<Full<Bytes>>, std::io::Error>;
+
+async fn handle(store: Shared, req: Request<Incoming>) -> Reply {
+    let (head, body) = req.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let header = |name: &str| {
+        head.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .map(String::from)
+            .unwrap_or_default()
+    };
+    let mut store = store.lock().unwrap();
+    if header("authorization") != format!("Bearer {SECRET}") {
+        return reply(401, &[], "");
+    }
+    match (head.method, head.uri.path()) {
+        (Method::GET, "/v1/config") => {
+            let now = store.history.last().unwrap();
+            let headers = [
+                ("x-revision", now.revision.to_string()),
+                (
+                    "x-author",
+                    masticdeal_language::header_text::encode(&now.author),
+                ),
+                ("x-change-id", now.change_id.to_string()),
+                ("x-time-ms", "1780000000000".into()),
+            ];
+            reply(200, &headers, &now.text)
+        }
+        (Method::PUT, "/v1/config") => {
+            let author = masticdeal_language::header_text::decode(&header("x-author")).unwrap();
+            let change_id = header("x-change-id").parse().unwrap();
+            let fault = store.faults.pop_front().unwrap_or(Fault::None);
+            if fault == Fault::LoseRequest {
+                return Err(std::io::Error::other("planned"));
+            }
+            let expect = header("x-if-revision").parse().unwrap();
+            let answer = put(&mut store, expect, author, change_id, text);
+            match fault {
+                Fault::LoseAnswer => Err(std::io::Error::other("planned")),
+                Fault::Unavailable => reply(503, &[], r#"{"error":"platform is silent"}"#),
+                _ => answer,
+            }
+        }
+        (Method::GET, "/v1/status") => {
+            let held = match store.peers.len() {
+                0 | 1 => store.peers.front().cloned().unwrap_or_default(),
+                _ => store.peers.pop_front().unwrap(),
+            };
+            let peer = |(at, held): (usize, &Option<u64>)| {
+                let name = format!("vm-{}", at + 1);
+                serde_json::json!({"name": name, "data_centre": "dc-a", "config_revision": held})
+            };
+            let peers: Vec<_> = held.iter().enumerate().map(peer).collect();
+            reply(200, &[], &serde_json::json!({ "peers": peers }).to_string())
+        }
+        (Method::POST, "/v1/ask") => {
+            let subject = header("x-masticdeal-subject");
+            store
+                .subjects
+                .push((!subject.is_empty()).then_some(subject));
+            let unknown = (404, format!("no answer to {text}"));
+            let (status, answer) = store.answers.get(&text).cloned().unwrap_or(unknown);
+            reply(
+                status,
+                &[("x-masticdeal-subject", "search key 4711".into())],
+                &answer,
+            )
+        }
+        _ => reply(404, &[], ""),
+    }
+}
+
+fn put(store: &mut Store, expect: u64, author: String, change_id: u64, text: String) -> Reply {
+    if let Some(known) = store.history.iter().find(|a| a.change_id == change_id) {
+        return reply(200, &[("x-revision", known.revision.to_string())], "");
+    }
+    if let Err(faults) = Deployment::parse(&text) {
+        return reply(400, &[], &serde_json::to_string(&faults).unwrap());
+    }
+    let now = store.history.last().unwrap();
+    if now.revision != expect {
+        let conflict = serde_json::json!({
+            "revision": now.revision, "author": now.author, "time_ms": 1_780_000_000_000_u64,
+            "change_id": now.change_id, "differences": [],
+        });
+        let headers = [("x-revision", now.revision.to_string())];
+        return reply(409, &headers, &conflict.to_string());
+    }
+    let revision = expect + 1;
+    store.history.push(Accepted {
+        revision,
+        author,
+        change_id,
+        text,
+    });
+    reply(200, &[("x-revision", revision.to_string())], "")
+}
+
+fn reply(status: u16, headers: &[(&str, String)], body: &str) -> Reply {
+    let mut rx = Response::builder().status(status);
+    for (name, value) in headers {
+        rx = rx.header(*name, value);
+    }
+    Ok(rx.body(Full::new(Bytes::from(body.to_owned()))).unwrap())
+}
+
+/// Starts a runtime of its own with the store behind it, for tests that run the binary.
+pub fn background(store: &Shared) -> (tokio::runtime::Runtime, SocketAddr) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let address = runtime.block_on(serve(store.clone()));
+    (runtime, address)
+}
--- /dev/null
+++ b/crates/cli/tests/tool.rs
@@ -0,0 +1,277 @@
+//! The tool as operators run it, against a fake operators port.
+
+mod fake;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use fake::{Accepted, Fault, KOCAELI, Shared};
+use googletest::prelude::*;
+
+/// An empty directory for one test.
+fn directory(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    std::fs::write(path.join("secret"), fake::SECRET).unwrap();
+    path
+}
+
+/// What one run printed, and its exit code.
+struct Run {
+    exit: i32,
+    out: String,
+    err: String,
+}
+
+fn run(directory: &PathBuf, daemons: &[SocketAddr], args: &[&str]) -> Run {
+    let listed: Vec<String> = daemons.iter().map(ToString::to_string).collect();
+    let output = Command::new(env!("CARGO_BIN_EXE_masticdeal"))
+        .args(args)
+        .current_dir(directory)
+        .env_clear()
+        .env("HOME", directory)
+        .env("MASTICDEAL_DAEMON", listed.join(","))
+        .env("MASTICDEAL_SECRET_FILE", "secret")
+        .env("MASTICDEAL_AUTHOR", "Ömer")
+        .output()
+        .unwrap();
+    Run {
+        exit: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Arguments, the exit code, and a part of what is printed to either stream.
+struct Case {
+    args: &'static [&'static str],
+    exit: i32,
+    says: &'static str,
+}
+
+const fn case(args: &'static [&'static str], exit: i32, says: &'static str) -> Case {
+    Case { args, exit, says }
+}
+
+#[rustfmt::skip]
+const CASES: &[Case] = &[
+    case(&["who", "owns", "search", "key", "4711"], 0, "vm-3 owns it."),
+    case(&["ask", "WHO owns search key 4711?"], 0, "vm-3 owns it."),
+    case(&["who owns search key 4711", "--timeout-ms", "30000"], 0, "vm-3 owns it."),
+    case(&["who", "owns", "search", "key", "a b"], 0, "vm-4 owns it."),
+    case(&["drain", "vm-9"], 1, "no answer to drain vm-9"),
+    case(&["who", "ows", "search", "key", "1"], 2, "column 5: `ows` is not understood; did you mean `owns`?"),
+    case(&["--author", "ask", "config"], 0, "revision 1"),
+    case(&["ask", "help"], 0, "move SERVICE key KEY"),
+    case(&["aply", "x"], 2, "Did you mean `apply`?"),
+    case(&["dran", "vm-3"], 2, "Did you mean `drain`?"),
+    case(&["apply"], 2, "file"),
+    case(&[], 0, "Usage: masticdeal"),
+    case(&["--help"], 0, "who owns search key 4711"),
+    case(&["apply", "--help"], 0, "--preview"),
+    case(&["show", "load", "--timeout-ms", "0"], 2, "expected 1 to 600000"),
+    case(&["show", "load", "--daemon", "nowhere"], 2, "nowhere"),
+    case(&["show", "load", "--secret-file", "absent"], 2, "absent: "),
+    case(&["show", "load", "--secret-file", "short"], 2, "at least 16"),
+    case(&["show", "load", "--secret-file", "wrong"], 1, "does not accept the secret"),
+    case(&["show", "load", "--daemon", "127.0.0.1:1"], 4, "no daemon answers: 127.0.0.1:1: "),
+    case(&["watch", "--interval-ms", "1"], 2, "--interval-ms 200"),
+    case(&["config"], 0, "; masticdeal revision 1 by Ayşe, 2026-05-28 20:26:40 UTC\n; Municipal"),
+    case(&["config", "--json"], 0, "\"author\":\"Ayşe\""),
+    case(&["check", "good.ini"], 0, "good.ini: valid deployment configuration"),
+    case(&["check", "bad.ini"], 1, "bad.ini:5: [service search] shards: `200` is not valid: expected a power of two"),
+    case(&["check", "bad.ini", "--json"], 1, "\"key\":\"shards\""),
+    case(&["check", "daemon.ini"], 0, "valid settings"),
+    case(&["check", "daemon.ini", "--kind", "deploy"], 2, "settings or deployment"),
+    case(&["check", "absent.ini"], 2, "absent.ini: "),
+    case(&["apply", "good.ini"], 0, "nothing to change"),
+    case(&["apply", "bad.ini", "--yes"], 1, "power of two"),
+    case(&["apply", "reshard.ini", "--yes"], 1, "keys would change shard"),
+    case(&["apply", "changed.ini", "--preview"], 0, "  search.deadline_ms: 2000 -> 900; nothing moves"),
+    case(&["apply", "changed.ini"], 2, "repeat with --yes"),
+    case(&["apply", "changed.ini", "--preview", "--json"], 0, "{\"outcome\":\"preview\",\"if_revision\":1,"),
+];
+
+fn changed() -> String {
+    KOCAELI.replace("deadline_ms = 2000", "deadline_ms = 900")
+}
+
+fn files(directory: &std::path::Path) {
+    let write = |name: &str, text: &str| std::fs::write(directory.join(name), text).unwrap();
+    write("good.ini", KOCAELI);
+    write("bad.ini", &KOCAELI.replace("shards = 256", "shards = 200"));
+    write(
+        "reshard.ini",
+        &KOCAELI.replace("shards = 256", "shards = 512"),
+    );
+    write("changed.ini", &changed());
+    write("daemon.ini", include_str!("../../../examples/daemon.ini"));
+    write("short", "abc");
+    write("wrong", "some-other-secret-here");
+}
+
+fn answer(store: &Shared, line: &str, status: u16, text: &str) {
+    store
+        .lock()
+        .unwrap()
+        .answers
+        .insert(line.into(), (status, text.into()));
+}
+
+#[gtest]
+fn each_command_line_has_its_exit_code_and_words() {
+    let directory = directory("cases");
+    files(&directory);
+    let store = fake::store();
+    answer(&store, "who owns search key 4711", 200, "vm-3 owns it.\n");
+    answer(
+        &store,
+        "who owns search key \"a b\"",
+        200,
+        "vm-4 owns it.\n",
+    );
+    let (_runtime, daemon) = fake::background(&store);
+    for case in CASES {
+        let run = run(&directory, &[daemon], case.args);
+        expect_that!(run.exit, eq(case.exit), "{:?}: {}", case.args, run.err);
+        let printed = format!("{}{}", run.out, run.err);
+        expect_that!(printed, contains_substring(case.says), "{:?}", case.args);
+        expect_that!(printed, not(contains_substring(fake::SECRET)));
+    }
+    expect_that!(
+        store.lock().unwrap().history,
+        len(eq(1)),
+        "no case changes anything"
+    );
+}
+
+/// Guards against "it" that is forgotten between two runs of the tool.
+#[gtest]
+fn subject_is_passed_back() {
+    let directory = directory("subject");
+    let store = fake::store();
+    answer(&store, "why does vm-3 own it", 200, "Because.");
+    let (_runtime, daemon) = fake::background(&store);
+    for _ in 0..2 {
+        run(&directory, &[daemon], &["why", "does", "vm-3", "own", "it"]);
+    }
+    let subjects = store.lock().unwrap().subjects.clone();
+    expect_that!(
+        subjects,
+        eq(&vec![None, Some("search key 4711".to_owned())])
+    );
+}
+
+/// Guards against a tool that gives up while another daemon answers.
+#[gtest]
+fn next_daemon_is_tried() {
+    let directory = directory("next");
+    let store = fake::store();
+    answer(&store, "show load", 200, "Fine.");
+    let (_runtime, daemon) = fake::background(&store);
+    let closed = SocketAddr::from(([127, 0, 0, 1], 1));
+    let run = run(&directory, &[closed, daemon], &["show", "load"]);
+    expect_that!(run.out, eq("Fine.\n"));
+}
+
+#[gtest]
+fn accepted_change_is_followed_until_it_is_in_force() {
+    let directory = directory("force");
+    files(&directory);
+    let store = fake::store();
+    {
+        let mut store = store.lock().unwrap();
+        store.peers = [
+            vec![Some(2), Some(1), None],
+            vec![Some(2), Some(2), Some(3)],
+        ]
+        .into();
+        store.faults = [Fault::LoseAnswer].into();
+    }
+    let (_runtime, daemon) = fake::background(&store);
+    let run = run(&directory, &[daemon], &["apply", "changed.ini", "--yes"]);
+    expect_that!(run.exit, eq(0), "{}", run.err);
+    let lines = "accepted as revision 2\nin force on 1 of 3\nin force on 3 of 3\n";
+    expect_that!(run.out, ends_with(lines));
+    let store = store.lock().unwrap();
+    expect_that!(store.history, len(eq(2)));
+    expect_that!(store.history[1].author, eq("Ömer"));
+    expect_that!(store.history[1].text, eq(&changed()));
+}
+
+#[gtest]
+fn daemons_that_stay_behind_are_named() {
+    let directory = directory("behind");
+    files(&directory);
+    let store = fake::store();
+    store.lock().unwrap().peers = [vec![Some(2), Some(1), None]].into();
+    let (_runtime, daemon) = fake::background(&store);
+    let args = ["apply", "changed.ini", "--yes", "--wait-ms", "400"];
+    let run = run(&directory, &[daemon], &args);
+    expect_that!(run.exit, eq(0));
+    let line = "accepted, but not yet in force on vm-2 in dc-a, vm-3 in dc-a\n";
+    expect_that!(run.out, ends_with(line));
+}
+
+/// Guards against a file made on an older revision that takes another operator's change back.
+#[gtest]
+fn conflict_names_the_other_change_and_keeps_the_text() {
+    let directory = directory("conflict");
+    let store = fake::store();
+    let (_runtime, daemon) = fake::background(&store);
+    let printed = run(&directory, &[daemon], &["config"]).out;
+    let mine = printed.replace("deadline_ms = 2000", "deadline_ms = 900");
+    std::fs::write(directory.join("mine.ini"), &mine).unwrap();
+    store.lock().unwrap().history.push(Accepted {
+        revision: 2,
+        author: "Elif".into(),
+        change_id: 8,
+        text: KOCAELI.replace("max_draining = 1", "max_draining = 2"),
+    });
+    let conflict = run(&directory, &[daemon], &["apply", "mine.ini", "--yes"]);
+    expect_that!(conflict.exit, eq(3));
+    let line = "conflict, nothing changed: revision 2 by Elif, 2026-05-28 20:26:40 UTC";
+    expect_that!(conflict.err, contains_substring(line));
+    expect_that!(
+        conflict.err,
+        contains_substring("mine.ini.not-in-revision-2")
+    );
+    let kept = std::fs::read_to_string(directory.join("mine.ini.not-in-revision-2")).unwrap();
+    expect_that!(kept, eq(&mine));
+    expect_that!(store.lock().unwrap().history, len(eq(2)));
+    // A second conflict overwrites nothing that was kept.
+    let again = run(
+        &directory,
+        &[daemon],
+        &["apply", "mine.ini", "--yes", "--json"],
+    );
+    expect_that!(
+        again.out,
+        contains_substring("\"kept\":\"mine.ini.not-in-revision-2-1\"")
+    );
+}
+
+#[gtest]
+fn live_view_prints_plain_lines() {
+    let directory = directory("watch");
+    let store = fake::store();
+    let load = r#"{"kind":"load","targets":[{"vm":"vm-1","service":"search","running":6,"queued":12,
+        "slots":6,"service_us":900,"age_ms":20}]}"#;
+    let changes = r#"{"kind":"changes","decisions":[{"time_ms":0,"table_version":3,
+        "config_revision":1,"what":"shard 1 of search moved from vm-1 to vm-2","cause":"so"}]}"#;
+    answer(&store, "show load", 200, load);
+    answer(&store, "show changes since 1m", 200, changes);
+    let (_runtime, daemon) = fake::background(&store);
+    let run = run(
+        &directory,
+        &[daemon],
+        &["watch", "--count", "2", "--interval-ms", "200"],
+    );
+    let expected = "decision 1970-01-01 00:00:00 UTC: shard 1 of search moved from vm-1 to vm-2 \
+                    because so\n\
+                    load vm-1 search: 6/6 running, 12 waiting, 0.9 ms each\n\
+                    load vm-1 search: 6/6 running, 12 waiting, 0.9 ms each\n";
+    expect_that!(run.out, eq(expected), "{}", run.err);
+}
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -19,4 +19,3 @@
 pub mod journal;
 pub mod subject;
 mod text;
-pub mod time;
--- a/crates/daemon/src/operators/subject.rs
+++ b/crates/daemon/src/operators/subject.rs
@@ -1,6 +1,6 @@
 //! What "it" in a sentence refers to.
 
-use masticdeal_language::{Sentence, Thing, parse};
+use masticdeal_language::{Sentence, Thing, header_text, parse};
 
 /// Header in which an answer names its subject and the tool passes it back.
 pub const HEADER: &str = "x-masticdeal-subject";
@@ -26,17 +26,9 @@
         &self.0
     }
 
-    /// Returns the value of the header: the text of the thing, with `%XX` for every byte that is
-    /// not printable ASCII.
+    /// Returns the value of the header: the text of the thing, encoded.
     pub fn to_header(&self) -> String {
-        let mut value = String::new();
-        for byte in self.0.to_string().bytes() {
-            match byte {
-                b' '..=b'~' if byte != b'%' => value.push(char::from(byte)),
-                other => value.push_str(&format!("%{other:02X}")),
-            }
-        }
-        value
+        header_text::encode(&self.0.to_string())
     }
 
     /// Reads the value of the header. Returns `None` when it names no key or shard.
@@ -44,7 +36,7 @@
         if value.len() > MAX_HEADER_BYTES {
             return None;
         }
-        match parse(&format!("who owns {}", decode(value)?)) {
+        match parse(&format!("who owns {}", header_text::decode(value)?)) {
             Ok(Sentence::Who { thing }) if thing != Thing::It => Some(Self(thing)),
             _ => None,
         }
@@ -56,19 +48,3 @@
         self.0.fmt(f)
     }
 }
-
-fn decode(value: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(value.len());
-    let mut rest = value.as_bytes();
-    while let Some((first, after)) = rest.split_first() {
-        rest = after;
-        if *first != b'%' {
-            bytes.push(*first);
-            continue;
-        }
-        let digits = std::str::from_utf8(rest.get(..2)?).ok()?;
-        bytes.push(u8::from_str_radix(digits, 16).ok()?);
-        rest = &rest[2..];
-    }
-    String::from_utf8(bytes).ok()
-}
--- a/crates/daemon/src/operators/text.rs
+++ b/crates/daemon/src/operators/text.rs
@@ -4,7 +4,7 @@
 
 use super::data::{Data, Decision, LoadLine, Owned, Owner, ServiceLine, TargetLine};
 use super::journal::TargetWord;
-use super::time::Utc;
+use masticdeal_language::Utc;
 
 /// Most names that a sentence lists before it counts the rest.
 const MAX_LISTED: usize = 6;
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use masticdeal_config::deployment::Deployment;
+use masticdeal_language::Utc;
 use masticdeal_ownership::change::{Change, Delta, EndCause};
 use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
 use masticdeal_ownership::table::{
@@ -16,7 +17,6 @@
 use masticdeald::operators::from_delta;
 use masticdeald::operators::journal::{Cause, Entry, Journal, What};
 use masticdeald::operators::subject::Subject;
-use masticdeald::operators::time::Utc;
 use proptest::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
 
--- /dev/null
+++ b/crates/language/src/header_text.rs
@@ -0,0 +1,31 @@
+//! UTF-8 text in HTTP headers, whose values are printable ASCII.
+
+/// Writes `%XX` for every byte that is not printable ASCII, and for `%`.
+pub fn encode(text: &str) -> String {
+    let mut value = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b' '..=b'~' if byte != b'%' => value.push(char::from(byte)),
+            other => value.push_str(&format!("%{other:02X}")),
+        }
+    }
+    value
+}
+
+/// Reads what [`encode`] wrote. Returns `None` for a malformed escape and for bytes that are no
+/// UTF-8.
+pub fn decode(value: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        rest = after;
+        if *first != b'%' {
+            bytes.push(*first);
+            continue;
+        }
+        let digits = std::str::from_utf8(rest.get(..2)?).ok()?;
+        bytes.push(u8::from_str_radix(digits, 16).ok()?);
+        rest = &rest[2..];
+    }
+    String::from_utf8(bytes).ok()
+}
