--- a/crates/bench/src/bin/demo.rs
+++ b/crates/bench/src/bin/demo.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use masticdeal_bench::check::{Violation, check};
-use masticdeal_bench::fleet::{Error, Fleet, binary, interrupted};
+use masticdeal_bench::fleet::{Error, Fleet, Options, binary, interrupted};
 use masticdeal_bench::layout::Layout;
 use masticdeal_bench::load::{Plan, Summary, run};
 
@@ -52,7 +52,7 @@
 }
 
 async fn demo(args: &Args, layout: Layout) -> Result<bool, Error> {
-    let mut fleet = Fleet::new(layout, false)?;
+    let mut fleet = Fleet::new(layout, Options::default())?;
     println!(
         "demo: settings, logs and records in {}",
         fleet.dir.display()
--- a/crates/bench/src/bin/prove.rs
+++ b/crates/bench/src/bin/prove.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use masticdeal_bench::check::{Report, Violation, check};
-use masticdeal_bench::fleet::{Error, Fleet, interrupted};
+use masticdeal_bench::fleet::{Error, Fleet, Options, interrupted};
 use masticdeal_bench::http1;
 use masticdeal_bench::layout::{Layout, Service};
 use masticdeal_bench::load::{self, Summary};
@@ -96,7 +96,11 @@
 async fn prove(args: &Args) -> Result<bool, Error> {
     let layout = layout(args);
     let plan = plan(args, &layout);
-    let mut fleet = Fleet::new(layout, true)?;
+    let options = Options {
+        relayed: true,
+        inline_targets: false,
+    };
+    let mut fleet = Fleet::new(layout, options)?;
     println!("prove: seed {}, folder {}", args.seed, fleet.dir.display());
     let routes = fleet.vms.iter().map(|vm| Route {
         listen: vm.relay(),
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -53,6 +53,15 @@
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// How a fleet runs.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Options {
+    /// Daemons advertise the relay's addresses.
+    pub relayed: bool,
+    /// Targets run inside this process, cannot be killed or frozen, and record nothing.
+    pub inline_targets: bool,
+}
+
 /// The running processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -64,19 +73,19 @@
     pub dir: PathBuf,
     /// Client of the daemons' operators ports.
     pub operators: Operators,
-    relayed: bool,
+    options: Options,
+    inline: Vec<tokio::task::JoinHandle<std::io::Result<()>>>,
     platform_at: SocketAddr,
     platform: Child,
 }
 
 impl Fleet {
-    /// Starts the platform stand-in and lays out the VMs; daemons and targets start later. With
-    /// `relayed` the daemons advertise the relay's addresses.
+    /// Starts the platform stand-in and lays out the VMs; daemons and targets start later.
     ///
     /// # Errors
     ///
     /// When files or ports are not to be had, or a process does not start.
-    pub fn new(layout: Layout, relayed: bool) -> Result<Self> {
+    pub fn new(layout: Layout, options: Options) -> Result<Self> {
         let dir = new_dir()?;
         let (platform_at, vms) = place(&layout).ok_or(Error::NoPorts)?;
         let mut command = Command::new(binary("platform-standin"));
@@ -87,7 +96,8 @@
             vms,
             dir,
             operators: Operators::new(OPERATORS_SECRET),
-            relayed,
+            options,
+            inline: Vec::new(),
             platform_at,
             platform,
         };
@@ -115,6 +125,9 @@
     ///
     /// When the process does not start.
     pub fn start_part(&mut self, vm: usize, part: Part) -> Result<()> {
+        if part == Part::Target && self.options.inline_targets {
+            return self.start_inline(vm);
+        }
         let log = self.dir.join(format!("{}-{part:?}.log", self.vms[vm].name));
         let command = match part {
             Part::Daemon => self.daemon_command(vm)?,
@@ -128,6 +141,26 @@
         Ok(())
     }
 
+    fn start_inline(&mut self, vm: usize) -> Result<()> {
+        let (vm, layout) = (&self.vms[vm], &self.layout);
+        let io = |e| Error::Io(vm.name.clone(), e);
+        let listener = std::net::TcpListener::bind(vm.target()).map_err(io)?;
+        listener.set_nonblocking(true).map_err(io)?;
+        let listener = tokio::net::TcpListener::from_std(listener).map_err(io)?;
+        let settings = target::Settings {
+            name: vm.name.clone(),
+            service: layout.services[vm.service].name.to_owned(),
+            announce: Some(vm.announce()),
+            slots: layout.slots,
+            connections: layout.connections,
+            checks_grants: layout.services[vm.service].checks_grants,
+            ..target::Settings::default()
+        };
+        let serving = tokio::spawn(target::serve(listener, settings));
+        self.inline.push(serving);
+        Ok(())
+    }
+
     /// Kills a daemon or a target and waits for its end.
     pub fn kill(&mut self, vm: usize, part: Part) {
         let child = match part {
@@ -168,7 +201,7 @@
     fn settings(&self, vm: usize) -> String {
         let region = self.layout.region;
         let vm = &self.vms[vm];
-        let advertised = match self.relayed {
+        let advertised = match self.options.relayed {
             true => format!("peers_advertised = {}\n", vm.relay()),
             false => String::new(),
         };
@@ -363,6 +396,7 @@
             self.kill(vm, Part::Daemon);
             self.kill(vm, Part::Target);
         }
+        self.inline.iter().for_each(|serving| serving.abort());
         let _ = self.platform.kill();
         let _ = self.platform.wait();
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http1;
 pub mod layout;
 pub mod load;
+pub mod measure;
 pub mod observer;
 pub mod operators;
 pub mod payload;
--- /dev/null
+++ b/crates/bench/src/measure/control.rs
@@ -0,0 +1,124 @@
+//! Cost of control in the steady state: platform calls, processor time, memory and bytes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use super::{Csv, READY_LIMIT, Spread};
+use crate::fleet::{Error, Fleet, Options, Result};
+use crate::layout::Layout;
+use crate::vm::Part;
+
+/// Time after the fleet is ready before the measurement starts.
+const REST: Duration = Duration::from_secs(10);
+
+/// Clock ticks per second of `/proc/<pid>/stat`, fixed on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// What a daemon has used since it started.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    cpu_s: f64,
+    rss_mb: f64,
+    bytes: f64,
+}
+
+/// Measures fleets of the given sizes for `seconds` each, with tables of the given shards.
+///
+/// # Errors
+///
+/// When a fleet does not run.
+pub async fn run(dir: &Path, sizes: &[usize], shards: &[u32], seconds: u64) -> Result<()> {
+    let header = "daemons,shards,seconds,get_per_min,swap_per_min,watch_per_min,lease_per_min,\
+                  calls_per_min,cpu_median_percent,cpu_worst_percent,rss_median_mb,rss_worst_mb,\
+                  control_median_bytes_s,control_worst_bytes_s";
+    let mut csv = Csv::create(dir, "control.csv", header)?;
+    for &size in sizes {
+        for &shards in shards {
+            let line = measure(size, shards, Duration::from_secs(seconds)).await?;
+            println!("control: {line}");
+            csv.line(&line)?;
+        }
+    }
+    Ok(())
+}
+
+async fn measure(size: usize, shards: u32, length: Duration) -> Result<String> {
+    let options = Options {
+        inline_targets: true,
+        ..Options::default()
+    };
+    let mut fleet = Fleet::new(Layout::divided(size, shards), options)?;
+    fleet.start(READY_LIMIT).await?;
+    tokio::time::sleep(REST).await;
+    let (calls, before) = (fleet.stats().await?, usages(&fleet).await?);
+    tokio::time::sleep(length).await;
+    let (calls_after, after) = (fleet.stats().await?, usages(&fleet).await?);
+    fleet.check_alive()?;
+    let seconds = length.as_secs_f64();
+    let rate = |of: fn(&Usage) -> f64| {
+        let pairs = before.iter().zip(&after);
+        Spread::of(pairs.map(|(b, a)| (of(a) - of(b)) / seconds).collect())
+    };
+    let (cpu, bytes) = (rate(|u| u.cpu_s * 100.0), rate(|u| u.bytes));
+    let rss = Spread::of(after.iter().map(|u| u.rss_mb).collect());
+    let per_min = |before: u64, after: u64| (after - before) as f64 * 60.0 / seconds;
+    fleet.remove_dir();
+    Ok(format!(
+        "{size},{shards},{seconds:.0},{:.0},{:.0},{:.0},{:.0},{:.0},{:.2},{:.2},{:.1},{:.1},{:.0},{:.0}",
+        per_min(calls.get, calls_after.get),
+        per_min(calls.swap, calls_after.swap),
+        per_min(calls.watch, calls_after.watch),
+        per_min(calls.lease, calls_after.lease),
+        per_min(calls.calls(), calls_after.calls()),
+        cpu.median,
+        cpu.worst,
+        rss.median,
+        rss.worst,
+        bytes.median,
+        bytes.worst,
+    ))
+}
+
+async fn usages(fleet: &Fleet) -> Result<Vec<Usage>> {
+    let mut usages = Vec::new();
+    for vm in &fleet.vms {
+        let pid = vm.pid(Part::Daemon).unwrap_or(0);
+        let metrics = fleet.operators.read(vm.operators(), "/metrics").await?;
+        let mut usage = process(pid).map_err(|e| Error::Io(vm.name.clone(), e))?;
+        usage.bytes = control_bytes(&metrics.text());
+        usages.push(usage);
+    }
+    Ok(usages)
+}
+
+fn process(pid: u32) -> std::io::Result<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name of the process stands in brackets and may hold blanks; fields count from its end.
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let ticks = |at: usize| {
+        fields
+            .get(at)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let rss_kb = rss.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+    Ok(Usage {
+        cpu_s: (ticks(11) + ticks(12)) / TICKS_PER_SECOND,
+        rss_mb: rss_kb.unwrap_or(0.0) / 1_024.0,
+        bytes: 0.0,
+    })
+}
+
+/// Returns the bytes read from and written to control connections.
+fn control_bytes(metrics: &str) -> f64 {
+    let counts = |line: &&str| line.starts_with("masticdeal_control_") && !line.starts_with('#');
+    let value = |line: &str| line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+    metrics.lines().filter(counts).filter_map(value).sum()
+}
--- /dev/null
+++ b/crates/bench/src/measure/mod.rs
@@ -0,0 +1,74 @@
+//! Measurements on fleets on loopback; each writes one CSV file and prints a summary.
+
+pub mod config;
+pub mod control;
+pub mod unavailable;
+
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use crate::fleet::{Error, Result};
+
+/// Longest wait for a fleet to become ready; it bounds no figure.
+pub const READY_LIMIT: Duration = Duration::from_secs(120);
+
+/// Table that is written to a CSV file line by line, so that a run cut short keeps its lines.
+#[derive(Debug)]
+pub struct Csv(File);
+
+impl Csv {
+    /// Creates the file with its header line.
+    ///
+    /// # Errors
+    ///
+    /// Any error of creating it.
+    pub fn create(dir: &Path, name: &str, header: &str) -> Result<Self> {
+        let path = dir.join(name);
+        let io = |e| Error::Io(path.display().to_string(), e);
+        std::fs::create_dir_all(dir).map_err(io)?;
+        let mut csv = Self(File::create(&path).map_err(io)?);
+        csv.line(header)?;
+        Ok(csv)
+    }
+
+    /// Writes one line.
+    ///
+    /// # Errors
+    ///
+    /// Any error of writing it.
+    pub fn line(&mut self, line: &str) -> Result<()> {
+        writeln!(self.0, "{line}").map_err(|e| Error::Io("csv".into(), e))
+    }
+}
+
+/// Median, 99th percentile and worst of a set of values.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spread {
+    /// Number of values.
+    pub count: usize,
+    /// Median.
+    pub median: f64,
+    /// 99th percentile, the nearest rank.
+    pub p99: f64,
+    /// Largest.
+    pub worst: f64,
+}
+
+impl Spread {
+    /// Summarises values; all zero when there are none.
+    pub fn of(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        let rank = |share: f64| {
+            let at = (share * values.len() as f64).ceil() as usize;
+            values.get(at.saturating_sub(1)).copied().unwrap_or(0.0)
+        };
+        Self {
+            count: values.len(),
+            median: rank(0.5),
+            p99: rank(0.99),
+            worst: rank(1.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/measure/unavailable.rs
@@ -0,0 +1,269 @@
+//! Time that keys are unavailable after a loss.
+//!
+//! One key per shard of the lost VMs is asked for at a fixed pace, through daemons that are not
+//! lost. The time of a key is the longest gap between two successful answers from just before the
+//! loss to the end of the try, so it includes up to one probe interval.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use masticdeal_ownership::ids::shard_of;
+use masticdeal_wire::headers;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Csv, READY_LIMIT, Spread};
+use crate::fleet::{Fleet, Options, Result};
+use crate::http1::{self, Client};
+use crate::layout::Layout;
+use crate::payload;
+use crate::vm::Part;
+
+/// Time between two probes of one key.
+const PROBE_EVERY: Duration = Duration::from_millis(5);
+
+/// Time after which a probe is given up.
+const PROBE_LIMIT: Duration = Duration::from_millis(150);
+
+/// Probing before the loss, so that each key has a success to count from.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// Probing after the loss.
+const WATCHED: Duration = Duration::from_secs(4);
+
+/// Pause between two tries, for the fleet to come to rest.
+const REST: Duration = Duration::from_secs(2);
+
+/// Divided VMs and shards of the measured fleet.
+const VMS: usize = 6;
+const SHARDS: u32 = 32;
+
+/// What is lost in a try.
+#[derive(Debug, Clone, Copy)]
+pub enum Loss {
+    /// A daemon is killed.
+    KillDaemon,
+    /// A target is killed.
+    KillTarget,
+    /// A daemon and its target are killed.
+    KillBoth,
+    /// A daemon is frozen.
+    FreezeDaemon,
+    /// A target is frozen.
+    FreezeTarget,
+    /// A daemon and its target are frozen.
+    FreezeBoth,
+    /// All daemons and targets of a data centre are killed.
+    DataCentre,
+}
+
+impl Loss {
+    /// All losses.
+    pub const ALL: [Self; 7] = [
+        Self::KillDaemon,
+        Self::KillTarget,
+        Self::KillBoth,
+        Self::FreezeDaemon,
+        Self::FreezeTarget,
+        Self::FreezeBoth,
+        Self::DataCentre,
+    ];
+
+    fn parts(self) -> &'static [Part] {
+        match self {
+            Self::KillDaemon | Self::FreezeDaemon => &[Part::Daemon],
+            Self::KillTarget | Self::FreezeTarget => &[Part::Target],
+            Self::KillBoth | Self::FreezeBoth | Self::DataCentre => &[Part::Daemon, Part::Target],
+        }
+    }
+
+    fn freezes(self) -> bool {
+        matches!(
+            self,
+            Self::FreezeDaemon | Self::FreezeTarget | Self::FreezeBoth
+        )
+    }
+}
+
+/// Measures all losses whose name contains `only`, `tries` times each.
+///
+/// # Errors
+///
+/// When the fleet does not run.
+pub async fn run(dir: &Path, tries: usize, checks_grants: bool, only: &str) -> Result<()> {
+    let suffix = if checks_grants { "checks" } else { "no-checks" };
+    let header = "loss,try,vms,key,unavailable_ms";
+    let mut raw = Csv::create(dir, &format!("unavailable-{suffix}.csv"), header)?;
+    let header = "loss,tries,keys,median_ms,p99_ms,worst_ms,key_tries_without_answer";
+    let mut summary = Csv::create(dir, &format!("unavailable-{suffix}-summary.csv"), header)?;
+    for loss in Loss::ALL {
+        let name = format!("{loss:?}");
+        if !name.contains(only) {
+            continue;
+        }
+        let line = measure(&mut raw, loss, tries, checks_grants).await?;
+        println!("unavailable: {line}");
+        summary.line(&line)?;
+    }
+    Ok(())
+}
+
+async fn measure(raw: &mut Csv, loss: Loss, tries: usize, checks: bool) -> Result<String> {
+    let mut layout = Layout::divided(VMS, SHARDS);
+    layout.services[0].checks_grants = checks;
+    let mut fleet = Fleet::new(layout, Options::default())?;
+    fleet.start(READY_LIMIT).await?;
+    let (mut times, mut unserved) = (Vec::new(), 0);
+    for attempt in 0..tries {
+        tokio::time::sleep(REST).await;
+        let victims = victims(&fleet, loss, attempt);
+        for (key, gap) in try_once(&mut fleet, loss, &victims).await? {
+            let ms = gap.map(|gap| gap.as_secs_f64() * 1_000.0);
+            unserved += usize::from(ms.is_none());
+            times.extend(ms);
+            let ms = ms.map_or("none".into(), |ms| format!("{ms:.1}"));
+            raw.line(&format!("{loss:?},{attempt},{victims:?},{key},{ms}").replace(", ", " "))?;
+        }
+    }
+    let s = Spread::of(times);
+    fleet.remove_dir();
+    let (median, p99, worst) = (s.median, s.p99, s.worst);
+    Ok(format!(
+        "{loss:?},{tries},{},{median:.0},{p99:.0},{worst:.0},{unserved}",
+        s.count
+    ))
+}
+
+fn victims(fleet: &Fleet, loss: Loss, attempt: usize) -> Vec<usize> {
+    match loss {
+        Loss::DataCentre => {
+            let dc = fleet.layout.data_centre(attempt);
+            let vms = 0..fleet.vms.len();
+            vms.filter(|&vm| fleet.vms[vm].data_centre == dc).collect()
+        }
+        _ => vec![attempt % fleet.vms.len()],
+    }
+}
+
+/// Probes the victims' keys through one loss, and returns the gap of each; `None` when a key was
+/// not served again.
+async fn try_once(
+    fleet: &mut Fleet,
+    loss: Loss,
+    victims: &[usize],
+) -> Result<Vec<(u64, Option<Duration>)>> {
+    let ingress: Vec<SocketAddr> = (0..fleet.vms.len())
+        .filter(|vm| !victims.contains(vm))
+        .map(|vm| fleet.vms[vm].callers())
+        .collect();
+    let names: Vec<String> = victims
+        .iter()
+        .map(|&vm| fleet.vms[vm].name.clone())
+        .collect();
+    let keys = owned_keys(&ingress, &names).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let probes = keys.iter().map(|&key| Probe::start(key, &ingress, &stop));
+    let probes: Vec<Arc<Probe>> = probes.collect();
+    tokio::time::sleep(LEAD).await;
+    let lost_at = Instant::now();
+    for &vm in victims {
+        for &part in loss.parts() {
+            match loss.freezes() {
+                true => fleet.freeze(vm, part),
+                false => fleet.kill(vm, part),
+            }
+        }
+    }
+    tokio::time::sleep(WATCHED).await;
+    stop.store(true, Ordering::Relaxed);
+    tokio::time::sleep(PROBE_LIMIT).await;
+    for &vm in victims {
+        for &part in loss.parts() {
+            match loss.freezes() {
+                true => fleet.thaw(vm, part),
+                false => fleet.start_part(vm, part)?,
+            }
+        }
+    }
+    fleet.wait_ready(READY_LIMIT).await?;
+    Ok(probes.iter().map(|p| (p.key, p.gap(lost_at))).collect())
+}
+
+/// Returns one key per shard that is served by one of the VMs.
+async fn owned_keys(ingress: &[SocketAddr], names: &[String]) -> Vec<u64> {
+    let http = Client::default();
+    let mut owned = Vec::new();
+    for shard in 0..SHARDS {
+        let of_shard = |key: &u64| shard_of(xxh3_64(key.to_string().as_bytes()), SHARDS).0 == shard;
+        let Some(key) = (0..u64::MAX).find(of_shard) else {
+            continue;
+        };
+        let answer = ask(&http, ingress[0], key, "owner").await;
+        let target =
+            answer.and_then(|a| http1::text(&a.headers, payload::TARGET).map(String::from));
+        if target.is_some_and(|target| names.contains(&target)) {
+            owned.push(key);
+        }
+    }
+    owned
+}
+
+async fn ask(http: &Client, at: SocketAddr, key: u64, id: &str) -> Option<http1::Answer> {
+    let path = format!("/search/{key}");
+    let named = [(headers::REQUEST_ID, id), (headers::DEADLINE_MS, "100")];
+    let sent = http
+        .send(Method::GET, at, &path, &named, "", PROBE_LIMIT)
+        .await;
+    sent.ok().filter(|answer| answer.status == 200)
+}
+
+/// Successful answers for one key.
+struct Probe {
+    key: u64,
+    successes: Mutex<Vec<Instant>>,
+}
+
+impl Probe {
+    fn start(key: u64, ingress: &[SocketAddr], stop: &Arc<AtomicBool>) -> Arc<Self> {
+        let successes = Mutex::default();
+        let probe = Arc::new(Self { key, successes });
+        let (own, ingress, stop) = (probe.clone(), ingress.to_vec(), stop.clone());
+        tokio::spawn(async move {
+            let http = Client::default();
+            let mut every = tokio::time::interval(PROBE_EVERY);
+            for number in 0.. {
+                every.tick().await;
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (own, http) = (own.clone(), http.clone());
+                let at = ingress[number % ingress.len()];
+                tokio::spawn(async move {
+                    let id = format!("probe-{key}-{number}");
+                    if ask(&http, at, key, &id).await.is_some() {
+                        own.successes.lock().unwrap().push(Instant::now());
+                    }
+                });
+            }
+        });
+        probe
+    }
+
+    /// Returns the longest gap that ends after the loss; `None` without a success after it.
+    fn gap(&self, lost_at: Instant) -> Option<Duration> {
+        let mut times = self.successes.lock().unwrap().clone();
+        times.sort();
+        // Answers that were under way at the loss may end after it: the gap, not the first
+        // success after the loss, tells when the key was served again.
+        let ends = times.windows(2).filter(|w| w[1] > lost_at);
+        let last = *times.last()?;
+        let open = lost_at + WATCHED - last.min(lost_at + WATCHED);
+        let served_at_the_end = open < Duration::from_secs(1);
+        ends.map(|w| w[1] - w[0])
+            .max()
+            .filter(|_| served_at_the_end)
+    }
+}
--- a/crates/bench/src/observer.rs
+++ b/crates/bench/src/observer.rs
@@ -26,10 +26,9 @@
 
 /// Reads the versions from the body of `/v1/status`.
 pub fn versions(status: &Value) -> Option<Versions> {
-    let number = |names: &[&str]| names.iter().find_map(|name| status.get(name)?.as_u64());
     Some(Versions {
-        table: number(&["table_version", "table"])?,
-        config: number(&["config_revision", "configuration_revision", "config"])?,
+        table: status.get("table_version")?.as_u64()?,
+        config: status.get("config_revision")?.as_u64()?,
     })
 }
 
--- a/crates/bench/src/operators.rs
+++ b/crates/bench/src/operators.rs
@@ -97,8 +97,10 @@
     ///
     /// When there is no answer; a command may have been carried out.
     pub async fn ask(&self, at: SocketAddr, sentence: &str) -> Result<Answer> {
+        let change = rand::random::<u64>().to_string();
+        let named = [(headers::AUTHOR, "bench"), (headers::CHANGE_ID, &change)];
         let path = headers::PATH_ASK;
-        self.call(at, Method::POST, path, &[], sentence).await
+        self.call(at, Method::POST, path, &named, sentence).await
     }
 
     /// Reads a path.
