Let the latency histogram reach one hour

It clamped every latency to 2 us: the default range of the library does not grow, and saturating_record hides that. A test holds median, p99 and maximum.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -29,6 +29,9 @@
 /// Time past its deadline after which a request without an answer is given up.
 pub const GRACE: Duration = Duration::from_secs(2);
 
+/// Largest latency that is told apart, one hour in microseconds.
+const MAX_LATENCY_US: u64 = 3_600_000_000;
+
 /// Requests to one service.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -341,7 +344,8 @@
 impl Latency {
     /// Summarises latencies in microseconds.
     pub fn of(values: impl Iterator<Item = u64>) -> Self {
-        let mut histogram = Histogram::<u64>::new(3).expect("three significant digits");
+        let histogram = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3);
+        let mut histogram = histogram.expect("bounds of a histogram");
         for value in values {
             histogram.saturating_record(value);
         }
--- a/crates/bench/tests/measure.rs
+++ b/crates/bench/tests/measure.rs
@@ -1,6 +1,7 @@
 //! Statistics of the measurements.
 
 use googletest::prelude::*;
+use masticdeal_bench::load::Latency;
 use masticdeal_bench::measure::Spread;
 
 /// Guards against percentiles that leave out the worst try of a small set.
@@ -13,3 +14,18 @@
     );
     expect_that!(Spread::of(vec![]), eq(Spread::default()));
 }
+
+/// Guards against a histogram that clamps latencies to its initial range.
+#[gtest]
+fn latencies_keep_their_size() {
+    let l = Latency::of((1..=1_000).map(|ms| ms * 1_000));
+    expect_that!(l.count, eq(1_000));
+    expect_that!(l.p50, near_u64(500_000));
+    expect_that!(l.p99, near_u64(990_000));
+    expect_that!(l.max, near_u64(1_000_000));
+}
+
+/// Within the precision of three digits.
+fn near_u64(value: u64) -> impl Matcher<u64> {
+    all![ge(value - value / 1_000), le(value + value / 1_000)]
+}
