--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+/// The most shards that all services may have together; the assignment table has the same bound.
+pub const MAX_SHARDS: usize = 65_536;
+
+/// The most services. The table holds every service that was ever declared.
+pub const MAX_SERVICES: usize = 1_024;
+
 /// The whole deployment configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Deployment {
@@ -58,6 +64,8 @@
     pub moves_per_round: usize,
     /// Excess of the busiest target over the mean below which the planner moves nothing.
     pub imbalance_tolerance: f64,
+    /// Names of the VMs whose targets an operator took away, in alphabetical order.
+    pub away: Vec<String>,
 }
 
 impl Default for Service {
@@ -84,6 +92,7 @@
             max_draining: 1,
             moves_per_round: 4,
             imbalance_tolerance: 0.15,
+            away: Vec::new(),
         }
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,8 +13,11 @@
 use masticdeal_wire::peer::{Reason, Versions};
 use masticdeal_wire::target::Announce;
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::meter::Meter;
+use crate::telemetry::Metrics;
 
 /// Decides whether this daemon may serve a shard, or a single key of it, at this moment.
 ///
@@ -42,6 +45,14 @@
     pub draining: watch::Sender<bool>,
     /// Ownership decision of the control plane.
     pub may_serve: MayServe,
+    /// Requests per shard and key.
+    pub meter: Meter,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Requests in progress at this daemon, up to the last byte of their answers.
+    pub in_progress: TaskTracker,
+    /// Set when nothing is in progress any more and the peers' port closes its connections.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Node {
@@ -57,6 +68,10 @@
             reported: watch::Sender::new(Versions::default()),
             draining: watch::Sender::new(false),
             may_serve,
+            meter: Meter::default(),
+            metrics: Metrics::new(),
+            in_progress: TaskTracker::new(),
+            closing: watch::Sender::new(false),
         }
     }
 
@@ -68,6 +83,13 @@
         }
     }
 
+    /// Returns the configuration and the name of a service in it.
+    pub fn rules_of(&self, service: ServiceId) -> Option<(Arc<Deployment>, String)> {
+        let name = self.table.borrow().service(service)?.name.clone();
+        let rules = Arc::clone(&self.deployment.borrow().1);
+        Some((rules, name))
+    }
+
     /// Records versions that a peer reported.
     pub fn report(&self, versions: Versions) {
         self.reported.send_if_modified(|known| {
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,232 @@
+//! Starts the parts of the daemon, and ends them in order.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use displaydoc::Display;
+use futures_util::FutureExt;
+use masticdeal_config::settings::Settings;
+use masticdeal_ownership::lease::{Core, CoreSettings, Event, Identity, Refusal};
+use masticdeal_wire::peer::Reason;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::clock::{BootClock, Clock};
+use crate::control::Control;
+use crate::control::election::Election;
+use crate::node::{MayServe, Node};
+use crate::owner::{self, Owner};
+use crate::peers::{self, Peers};
+use crate::telemetry::logs;
+use crate::{ingress, shutdown};
+
+/// Longest time that a leaving daemon waits for its shards to move and its session to end.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why the daemon cannot run.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// logging cannot start: {0}
+    Logs(logs::Error),
+    /// cannot listen on {0} for {1}: {2}
+    Listen(SocketAddr, &'static str, std::io::Error),
+    /// the runtime cannot start: {0}
+    Runtime(std::io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Runs the daemon until it gets SIGTERM or SIGINT and has drained.
+///
+/// # Errors
+///
+/// Any [`Error`], before a request was taken.
+pub fn run(settings: Settings) -> Result<()> {
+    logs::init(&settings.log).map_err(Error::Logs)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    runtime.block_on(serve(settings))
+}
+
+/// The listening sockets of the daemon.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+    announce: TcpListener,
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let listeners = Listeners::bind(&settings).await?;
+    let clock: Arc<dyn Clock> = Arc::new(BootClock);
+    let core = Core::new(core_settings(&settings), identity(&settings, clock.now()));
+    let core = Arc::new(Mutex::new(core));
+    let may_serve = may_serve(core.clone(), clock.clone());
+    let node = Arc::new(Node::new(settings, clock, may_serve));
+    let peers = Peers::new(node.clone());
+    let owner = Owner::new(node.clone());
+    let platform = masticdeal_platform::Client::new(masticdeal_platform::Settings {
+        address: node.settings.platform.address,
+        timeout: node.settings.platform.timeout,
+    });
+    let control = Control::new(
+        node.clone(),
+        peers.clone(),
+        owner.clone(),
+        platform.clone(),
+        core,
+    );
+    start_control(&control, platform);
+    let handlers = peers::Handlers {
+        control: control_handler(control.clone()),
+        forward: owner.forwarded(),
+    };
+    let peers_served = tokio::spawn(peers::serve(node.clone(), listeners.peers, handlers));
+    tokio::spawn(owner::serve_announce(node.clone(), listeners.announce));
+    tokio::spawn(control.clone().serve_operators(listeners.operators));
+    let callers_served = tokio::spawn(ingress::serve(
+        node.clone(),
+        peers,
+        owner,
+        listeners.callers,
+    ));
+    log::info!("{} is listening", node.settings.daemon.name);
+    stop_signal().await;
+    log::info!("stopping");
+    node.draining.send_replace(true);
+    leave(&control).await;
+    shutdown::shutdown(&node).await;
+    // Both end by themselves once nothing is in progress.
+    let _ = callers_served.await;
+    let _ = peers_served.await;
+    Ok(())
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind(listen.callers, "callers").await?,
+            peers: bind(listen.peers, "peers").await?,
+            operators: bind(listen.operators, "operators").await?,
+            announce: bind(listen.announce, "the target's announcements").await?,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr, what: &'static str) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|e| Error::Listen(address, what, e))
+}
+
+fn core_settings(settings: &Settings) -> CoreSettings {
+    let lease = &settings.lease;
+    CoreSettings {
+        lease: lease.length,
+        renew: lease.renew,
+        drift_ppm: lease.drift_ppm,
+        settle: lease.settle,
+        ..CoreSettings::default()
+    }
+}
+
+fn identity(settings: &Settings, bound_at: Duration) -> Identity {
+    let daemon = &settings.daemon;
+    let listen = &settings.listen;
+    Identity {
+        incarnation: rand::random(),
+        vm: daemon.name.clone(),
+        address: listen.peers_advertised.unwrap_or(listen.peers),
+        region: daemon.region.clone(),
+        data_centre: daemon.data_centre.clone(),
+        bound_at,
+        seed: rand::random(),
+    }
+}
+
+fn may_serve(core: Arc<Mutex<Core>>, clock: Arc<dyn Clock>) -> MayServe {
+    Box::new(move |service, shard, key_hash| {
+        let core = core.lock().unwrap();
+        // The clock is read under the lock: a wait for the lock must not stretch the lease.
+        core.may_serve(clock.now(), service, shard, key_hash)
+            .map_err(reason)
+    })
+}
+
+fn reason(refusal: Refusal) -> Reason {
+    match refusal {
+        Refusal::WrongOwner(_) => Reason::WrongOwner,
+        Refusal::NoService => Reason::NoService,
+        Refusal::NoOwner => Reason::NoOwner,
+        Refusal::LeaseExpired | Refusal::NotJoined => Reason::LeaseExpired,
+        Refusal::Moving | Refusal::Settling => Reason::Moving,
+    }
+}
+
+fn control_handler(control: Arc<Control>) -> peers::server::Control {
+    Box::new(move |_, path, frame| {
+        let answer = control.answer(path, &frame);
+        let answer = answer.map_err(|e| {
+            log::warn!("{path} is refused: {e}");
+            peers::Error::Refused(400)
+        });
+        async move { answer }.boxed()
+    })
+}
+
+fn start_control(control: &Arc<Control>, platform: masticdeal_platform::Client) {
+    let (watching, is_watching) = watch::channel(false);
+    let election = Election {
+        platform: platform.clone(),
+        clock: control.node.clock.clone(),
+        name: control.node.settings.daemon.name.clone(),
+        candidate: is_watching.clone(),
+        leading: control.planning(),
+    };
+    tokio::spawn(control.clone().drive());
+    tokio::spawn(control.clone().follow_reports());
+    tokio::spawn(control.clone().follow_services());
+    tokio::spawn(control.clone().follow_target());
+    tokio::spawn(control.clone().keep_grants());
+    tokio::spawn(control.clone().load_config());
+    tokio::spawn(control.clone().follow_role(watching));
+    tokio::spawn(
+        control
+            .clone()
+            .watch_table(platform.clone(), is_watching.clone()),
+    );
+    tokio::spawn(control.clone().watch_config(platform, is_watching));
+    tokio::spawn(election.run());
+}
+
+/// Lets the shards move away and the session end, within a bound.
+async fn leave(control: &Arc<Control>) {
+    control.feed(Event::LeaveRequested);
+    let mut session = control.node.session.subscribe();
+    let ended = session.wait_for(Option::is_none);
+    if tokio::time::timeout(LEAVE_TIMEOUT, ended).await.is_err() {
+        log::warn!("the session is still in the table at the end of the wait");
+    }
+}
+
+async fn stop_signal() {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
