Test verdicts, lifecycle and ports of the request path

Cause: nothing showed that a failure carries the right verdict, that a request runs at most once when it must, or that the ports survive bad input.

Change: tests with a scripted target, a relay whose connections go silent, and daemons in process. One fault found and mended: a request that waited for an owner up to its deadline started one more attempt with a few milliseconds left and was then reported as 504 deadline; it now keeps the reason of its wait (503, NotRun, retry-after).

--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -56,6 +56,8 @@
     tried: Vec<SessionId>,
     /// When waiting for somebody to serve the request ends, as time since boot.
     wait_until: Duration,
+    /// Why the request had to wait last.
+    redirected: Option<Failure>,
 }
 
 impl Ingress {
@@ -71,6 +73,7 @@
             redirects: 0,
             tried: Vec::new(),
             wait_until: latest.min(now + OWNER_WAIT),
+            redirected: None,
         };
         loop {
             let routed = route::route(&self.node, &head, &balance, &progress.tried);
@@ -149,6 +152,12 @@
             let chosen = head.forward.key_hash.is_none() && failure.reason != Reason::NoTarget;
             return self.redirect(progress, failure, table, chosen).await;
         }
+        if let Some(redirected) = progress.redirected
+            && (failure.verdict, failure.reason) == (Verdict::NotRun, Reason::Deadline)
+        {
+            // The time went by while nobody could serve the request, which says more to the caller.
+            return Err(redirected);
+        }
         progress.attempts += 1;
         let failed = Failed {
             attempt: progress.attempts,
@@ -181,6 +190,7 @@
             retry_after,
             ..failure
         };
+        progress.redirected = Some(failure);
         let left = progress.wait_until.saturating_sub(self.node.clock.now());
         if left.is_zero() {
             return Err(failure);
@@ -194,9 +204,13 @@
         let mut tables = self.node.table.subscribe();
         let longer = REDIRECT_BACKOFF.0 * 2u32.saturating_pow(progress.redirects.min(8));
         progress.redirects += 1;
-        let wait = longer.min(REDIRECT_BACKOFF.1).min(left);
-        let _ = timeout(wait, tables.wait_for(|t| t.version != table)).await;
-        Ok(())
+        let wait = longer.min(REDIRECT_BACKOFF.1);
+        let newer = timeout(wait.min(left), tables.wait_for(|t| t.version != table)).await;
+        if newer.is_err() && wait >= left {
+            Err(failure)
+        } else {
+            Ok(())
+        }
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,9 +1,11 @@
 //! In-process daemons with a hand-made table, and a scripted target.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::HashMap;
+mod relay;
+mod target;
+
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,10 +25,13 @@
 use masticdeald::owner::Owner;
 use masticdeald::peers::{self, Handlers, Peers};
 use masticdeald::{ingress, shutdown};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use relay::Relay;
+pub use target::{Script, Target};
+
 pub const SECRET: &str = "peers-secret";
 pub const LOCAL: &str = "127.0.0.1:0";
 
@@ -39,8 +44,8 @@
     pub peers_port: SocketAddr,
     /// What the fake ownership decision refuses with, if anything.
     pub refusal: Arc<Mutex<Option<Reason>>>,
-    /// Number of ownership decisions so far.
-    pub decisions: Arc<AtomicUsize>,
+    /// Ownership decisions that are still granted before the refusal sets in.
+    pub granted: Arc<AtomicUsize>,
     pub servers: Vec<JoinHandle<()>>,
 }
 
@@ -59,12 +64,15 @@
         let port = TcpListener::bind(LOCAL).await.unwrap();
         settings.listen.callers = callers.local_addr().unwrap();
         settings.listen.peers = port.local_addr().unwrap();
-        let (refusal, decisions) = (Arc::<Mutex<Option<Reason>>>::default(), Arc::default());
-        let (refuse, count) = (Arc::clone(&refusal), Arc::clone(&decisions));
+        let refusal = Arc::<Mutex<Option<Reason>>>::default();
+        let granted = Arc::<AtomicUsize>::default();
+        let (refuse, grants) = (Arc::clone(&refusal), Arc::clone(&granted));
         let may_serve = move |_, _, _| {
-            AtomicUsize::fetch_add(&count, 1, Ordering::SeqCst);
-            let refusal = *refuse.lock().unwrap();
-            refusal.map_or(Ok(Epoch(7)), Err)
+            let Some(reason) = *refuse.lock().unwrap() else {
+                return Ok(Epoch(7));
+            };
+            let left = grants.try_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+            left.map(|_| Epoch(7)).map_err(|_| reason)
         };
         let node = Arc::new(Node::new(
             settings,
@@ -91,12 +99,14 @@
             callers,
             peers_port,
             refusal,
-            decisions,
+            granted,
             servers,
         }
     }
 
-    pub fn refuse(&self, reason: Option<Reason>) {
+    /// Refuses every ownership decision after `granted` more.
+    pub fn refuse(&self, reason: Option<Reason>, granted: usize) {
+        self.granted.store(granted, Ordering::SeqCst);
         *self.refusal.lock().unwrap() = reason;
     }
 
@@ -205,206 +215,6 @@
     (ingress, owner)
 }
 
-/// What the scripted target does with each request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Script {
-    /// Echoes method, path and body, with the request's headers as `got-*` headers.
-    Echo,
-    /// Sends half of the announced body, then closes.
-    CutLength,
-    /// Sends one chunk of a chunked body, then closes.
-    CutChunked,
-    /// Sends an answer that only the end of the connection ends.
-    NoFraming,
-    /// Reads the request and closes without an answer.
-    CloseAfterRead,
-    /// Reads the request and never answers.
-    Hang,
-    /// Refuses with this status and the verdict `NotRun`.
-    Refuse(u16),
-    /// Sends a chunk of 8 bytes at each release, and ends after this many.
-    Chunks(usize),
-}
-
-/// A target on a port of its own. It counts the requests whose head it has read.
-pub struct Target {
-    pub address: SocketAddr,
-    pub heads: Arc<AtomicUsize>,
-    /// Connections that ended.
-    pub closed: Arc<AtomicUsize>,
-    pub release: Arc<tokio::sync::Semaphore>,
-    pub script: Arc<Mutex<Script>>,
-    accept: JoinHandle<()>,
-}
-
-impl Drop for Target {
-    fn drop(&mut self) {
-        self.accept.abort();
-    }
-}
-
-impl Target {
-    pub async fn start(script: Script) -> Self {
-        let listener = TcpListener::bind(LOCAL).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (heads, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
-        let release = Arc::new(tokio::sync::Semaphore::new(0));
-        let script = Arc::new(Mutex::new(script));
-        let (h, c, r, s) = (
-            heads.clone(),
-            closed.clone(),
-            release.clone(),
-            script.clone(),
-        );
-        let accept = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (h, c, r, s) = (h.clone(), c.clone(), r.clone(), s.clone());
-                tokio::spawn(async move {
-                    let _ = run(stream, &h, &r, &s).await;
-                    c.fetch_add(1, Ordering::SeqCst);
-                });
-            }
-        });
-        Self {
-            address,
-            heads,
-            closed,
-            release,
-            script,
-            accept,
-        }
-    }
-
-    pub fn count(&self) -> usize {
-        self.heads.load(Ordering::SeqCst)
-    }
-}
-
-async fn run(
-    mut stream: TcpStream,
-    heads: &AtomicUsize,
-    release: &tokio::sync::Semaphore,
-    script: &Mutex<Script>,
-) -> std::io::Result<()> {
-    let mut buf = Vec::new();
-    loop {
-        let Some((head, body)) = read_request(&mut stream, &mut buf).await? else {
-            return Ok(());
-        };
-        heads.fetch_add(1, Ordering::SeqCst);
-        let script = *script.lock().unwrap();
-        match script {
-            Script::Echo => stream.write_all(&echo(&head, &body)).await?,
-            Script::CutLength => {
-                return stream
-                    .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf.")
-                    .await;
-            }
-            Script::CutChunked => {
-                let answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
-                return stream.write_all(answer).await;
-            }
-            Script::NoFraming => return stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nwhole?").await,
-            Script::CloseAfterRead => return Ok(()),
-            Script::Hang => {
-                // Returns when the daemon closes the connection.
-                return stream.read_to_end(&mut buf).await.map(|_| ());
-            }
-            Script::Refuse(status) => {
-                let answer = format!(
-                    "HTTP/1.1 {status} No\r\nx-masticdeal-verdict: NotRun\r\n\
-                     content-length: 0\r\n\r\n"
-                );
-                stream.write_all(answer.as_bytes()).await?;
-            }
-            Script::Chunks(count) => chunks(&mut stream, release, count).await?,
-        }
-    }
-}
-
-async fn chunks(
-    stream: &mut TcpStream,
-    release: &tokio::sync::Semaphore,
-    count: usize,
-) -> std::io::Result<()> {
-    stream
-        .write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
-        .await?;
-    for i in 0..count {
-        let mut probe = [0; 1];
-        tokio::select! {
-            permit = release.acquire() => permit.unwrap().forget(),
-            // The daemon closes the connection when the request is cancelled.
-            _ = stream.read(&mut probe) => return Err(std::io::ErrorKind::BrokenPipe.into()),
-        }
-        stream
-            .write_all(format!("8\r\nchunk{i:03}\r\n").as_bytes())
-            .await?;
-    }
-    stream.write_all(b"0\r\n\r\n").await
-}
-
-fn echo(head: &str, body: &[u8]) -> Vec<u8> {
-    let mut lines = head.split("\r\n");
-    let mut text = lines.next().unwrap_or_default().to_owned();
-    text.push('\n');
-    text.push_str(&String::from_utf8_lossy(body));
-    let mut answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n", text.len());
-    for line in lines.filter(|l| !l.is_empty()) {
-        answer.push_str(&format!("got-{line}\r\n"));
-    }
-    answer.push_str("x-masticdeal-load: forged\r\nconnection: x-private\r\nx-private: 1\r\n\r\n");
-    let mut answer = answer.into_bytes();
-    answer.extend_from_slice(text.as_bytes());
-    answer
-}
-
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> std::io::Result<Option<(String, Vec<u8>)>> {
-    let end = loop {
-        if let Some(at) = find(buf, b"\r\n\r\n") {
-            break at + 4;
-        }
-        if stream.read_buf(buf).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-    buf.drain(..end);
-    let headers: HashMap<String, String> = head
-        .lines()
-        .filter_map(|l| l.split_once(": "))
-        .map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()))
-        .collect();
-    if let Some(length) = headers.get("content-length") {
-        let length: usize = length.parse().unwrap();
-        while buf.len() < length {
-            if stream.read_buf(buf).await? == 0 {
-                return Ok(None);
-            }
-        }
-        return Ok(Some((head, buf.drain(..length).collect())));
-    }
-    if !headers.contains_key("transfer-encoding") {
-        return Ok(Some((head, Vec::new())));
-    }
-    let end = loop {
-        if let Some(at) = find(buf, b"0\r\n\r\n") {
-            break at + 5;
-        }
-        if stream.read_buf(buf).await? == 0 {
-            return Ok(None);
-        }
-    };
-    Ok(Some((head, buf.drain(..end).collect())))
-}
-
-fn find(buf: &[u8], what: &[u8]) -> Option<usize> {
-    buf.windows(what.len()).position(|w| w == what)
-}
-
 /// A connection of a caller, HTTP/1.1.
 pub struct Caller(
     pub hyper::client::conn::http1::SendRequest<Full<Bytes>>,
@@ -494,12 +304,3 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
-
-/// A flag that is set when it is dropped.
-pub struct SetOnDrop(pub Arc<AtomicBool>);
-
-impl Drop for SetOnDrop {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::SeqCst);
-    }
-}
--- /dev/null
+++ b/crates/daemon/tests/lifecycle.rs
@@ -0,0 +1,200 @@
+//! Requests that end early, wait, or outlive the daemon's own end.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Caller, Script, Target, call, pair, publish, read, request, table, until};
+use googletest::prelude::*;
+use http_body_util::BodyExt;
+use masticdeal_ownership::ids::{ServiceId, ShardId};
+use masticdeal_wire::peer::Reason;
+use masticdeal_wire::target::AnnouncedState;
+use tokio::net::TcpStream;
+
+/// Guards against work that goes on for a caller who has gone, at the target and in the queue.
+#[gtest]
+#[tokio::test]
+async fn cancellation_reaches_the_target_and_the_queue() {
+    for script in [Script::Hang, Script::Chunks(9)] {
+        let target = Target::start(script).await;
+        let (ingress, owner) = pair(target.address, |_| {}).await;
+        owner.announce(target.address, 1, AnnouncedState::Ready);
+        for port in [ingress.callers, owner.callers] {
+            let before = target.closed.load(std::sync::atomic::Ordering::SeqCst);
+            let running = Caller::connect(port).await;
+            let mut waiting = Caller::connect(port).await;
+            let mut sender = running.0;
+            let first = tokio::spawn(async move {
+                let answer = sender
+                    .send_request(request("GET", "/search/1", &[], ""))
+                    .await;
+                // The answer is held without being read; its drop cancels the request.
+                let _keep = (sender, answer);
+                std::future::pending::<()>().await;
+            });
+            until(|| owner.owner.load().running == 1).await;
+            let queued = tokio::spawn(async move {
+                waiting.send(request("GET", "/search/1", &[], "")).await;
+            });
+            until(|| owner.owner.load().queued == 1).await;
+            queued.abort();
+            until(|| owner.owner.load().queued == 0).await;
+            let seen = target.count();
+            first.abort();
+            until(|| owner.owner.load().running == 0).await;
+            until(|| target.closed.load(std::sync::atomic::Ordering::SeqCst) > before).await;
+            expect_that!(target.count(), eq(seen), "the queued request never ran");
+        }
+    }
+}
+
+/// Guards against a shutdown that cuts off a download, or that takes new work meanwhile.
+#[gtest]
+#[tokio::test]
+async fn shutdown_finishes_a_download_and_refuses_new_work() {
+    let target = Target::start(Script::Chunks(4)).await;
+    let (ingress, owner) = pair(target.address, |_| {}).await;
+    let mut caller = Caller::connect(ingress.callers).await;
+    let mut answer = caller.send(request("GET", "/search/1", &[], "")).await;
+    target.release.add_permits(1);
+    answer.frame().await.unwrap().unwrap();
+    let node = std::sync::Arc::clone(&owner.node);
+    let (owner_port, ingress_port) = (owner.callers, ingress.callers);
+    let ends = [
+        tokio::spawn(owner.shutdown()),
+        tokio::spawn(ingress.shutdown()),
+    ];
+    until(|| node.in_progress.is_closed()).await;
+    // The listeners close in tasks of their own.
+    for port in [owner_port, ingress_port] {
+        while TcpStream::connect(port).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    for end in &ends {
+        expect_that!(end.is_finished(), eq(false));
+    }
+    target.release.add_permits(3);
+    let rest = answer.collect().await.unwrap().to_bytes();
+    expect_that!(rest.as_ref(), eq(b"chunk001chunk002chunk003"));
+    for end in ends {
+        expect_that!(end.await.unwrap(), eq(true));
+    }
+    expect_that!(target.count(), eq(1));
+}
+
+/// Guards against a drain without end, and against forwarded work that a draining owner runs.
+#[gtest]
+#[tokio::test]
+async fn drain_is_bounded_and_refuses_forwarded_work() {
+    let target = Target::start(Script::Hang).await;
+    let (ingress, owner) = pair(target.address, |s| {
+        s.daemon.drain = Duration::from_millis(300)
+    })
+    .await;
+    let hanging = tokio::spawn(call(ingress.callers, request("POST", "/search/1", &[], "")));
+    until(|| owner.owner.load().running == 1).await;
+    let end = tokio::spawn(owner.shutdown());
+    let headers = [("x-masticdeal-deadline-ms", "100")];
+    let seen = call(ingress.callers, request("POST", "/search/2", &headers, "")).await;
+    expect_that!(seen.failure(), eq((503, "NotRun", "shutting-down")));
+    expect_that!(
+        end.await.unwrap(),
+        eq(false),
+        "the drain ends although a request runs"
+    );
+    let cut = hanging.await.unwrap();
+    expect_that!(cut.header("x-masticdeal-verdict"), eq("MayHaveRun"));
+    expect_that!(target.count(), eq(1));
+}
+
+/// Guards against a planned move that begins while a request of the shard still runs or waits, and
+/// against a queued request that runs after the release.
+#[gtest]
+#[tokio::test]
+async fn released_shard_is_drained_first() {
+    let target = Target::start(Script::Chunks(1)).await;
+    let (ingress, owner) = pair(target.address, |_| {}).await;
+    owner.announce(target.address, 1, AnnouncedState::Ready);
+    let mut caller = Caller::connect(ingress.callers).await;
+    let answer = caller.send(request("GET", "/search/1", &[], "")).await;
+    let headers = [("x-masticdeal-deadline-ms", "400")];
+    let queued = call(ingress.callers, request("POST", "/search/1", &headers, ""));
+    let queued = tokio::spawn(queued);
+    until(|| owner.owner.load().queued == 1).await;
+    owner.refuse(Some(Reason::Moving), 0);
+    let drained = async {
+        for shard in 0..4 {
+            owner.owner.drained(ServiceId(0), ShardId(shard)).await;
+        }
+    };
+    tokio::pin!(drained);
+    let early = tokio::time::timeout(Duration::from_millis(50), &mut drained).await;
+    expect_that!(early.is_err(), eq(true), "a request still runs");
+    target.release.add_permits(1);
+    expect_that!(read(answer).await.body, ok(eq("chunk000")));
+    drained.await;
+    expect_that!(
+        queued.await.unwrap().failure(),
+        eq((503, "NotRun", "moving"))
+    );
+    expect_that!(target.count(), eq(1));
+}
+
+/// Guards against new work at a target that announces that it is leaving, and against requests that
+/// wait in its queue for nothing.
+#[gtest]
+#[tokio::test]
+async fn draining_target_gets_no_new_work() {
+    let target = Target::start(Script::Chunks(1)).await;
+    let (_ingress, owner) = pair(target.address, |_| {}).await;
+    let mut caller = Caller::connect(owner.callers).await;
+    let answer = caller.send(request("GET", "/search/1", &[], "")).await;
+    owner.announce(target.address, 2, AnnouncedState::Draining);
+    let headers = [("x-masticdeal-deadline-ms", "100")];
+    let seen = call(owner.callers, request("POST", "/search/1", &headers, "")).await;
+    expect_that!(seen.failure(), eq((503, "NotRun", "target-away")));
+    target.release.add_permits(1);
+    expect_that!(read(answer).await.body, ok(eq("chunk000")));
+    expect_that!(target.count(), eq(1));
+}
+
+/// Guards against a queue without bound, and against refusals that name the wrong bound.
+#[gtest]
+#[tokio::test]
+async fn bounds_refuse_with_their_own_reason() {
+    let target = Target::start(Script::Hang).await;
+    let (ingress, owner) = pair(target.address, |s| {
+        s.limits.queue_length = 2;
+        s.limits.requests = 4;
+        s.limits.connections = 8;
+    })
+    .await;
+    owner.announce(target.address, 1, AnnouncedState::Ready);
+    publish(&[&ingress, &owner], &table(2, &[&ingress, &owner], Some(1)));
+    let send = |port| {
+        let headers = [("x-masticdeal-deadline-ms", "1000")];
+        tokio::spawn(call(port, request("POST", "/search/1", &headers, "")))
+    };
+    let running: Vec<_> = (0..4).map(|_| send(owner.callers)).collect();
+    until(|| owner.owner.load().running == 1).await;
+    let mut reasons = Vec::new();
+    for call in running {
+        reasons.push(call.await.unwrap().header("x-masticdeal-reason").to_owned());
+    }
+    expect_that!(reasons, contains(eq("queue-full")));
+    let many: Vec<_> = (0..6).map(|_| send(ingress.callers)).collect();
+    let mut seen = Vec::new();
+    for call in many {
+        let call = call.await.unwrap();
+        seen.push((call.status, call.header("x-masticdeal-reason").to_owned()));
+    }
+    expect_that!(seen, contains(eq(&(429, "too-many-requests".to_owned()))));
+    let mut idle = Vec::new();
+    for _ in 0..8 {
+        idle.push(Caller::connect(ingress.callers).await);
+    }
+    let seen = call(ingress.callers, request("GET", "/search/1", &[], "")).await;
+    expect_that!(seen.failure(), eq((503, "NotRun", "too-many-connections")));
+}
