--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -122,6 +122,7 @@
                 author: "Ayşe".into(),
                 time_ms: NOW_MS - 60_000,
                 change_id: 9,
+                recent: Vec::new(),
                 text,
             },
             journal: journal(),
