Check invariants in the running daemon, leave in order, start from peers in an outage

Cause: the checker ran in tests only; a stopping daemon refused work before its shards had moved; a daemon that starts during an outage of the platform had no way to learn the configuration.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -148,6 +148,20 @@
     }
 
     /// Reads an address if it is given, and returns whether it was read.
+    /// Reads a list of addresses; a missing key leaves the list as it is.
+    pub(crate) fn addresses(&mut self, key: &str, into: &mut Vec<SocketAddr>) {
+        let Some(entry) = self.entry(key) else {
+            return;
+        };
+        let parts = entry.value.split(',').map(str::trim);
+        let parsed: Result<Vec<SocketAddr>, _> =
+            parts.filter(|p| !p.is_empty()).map(str::parse).collect();
+        match parsed {
+            Ok(list) => *into = list,
+            Err(_) => self.invalid(entry, "addresses ip:port, separated by commas"),
+        }
+    }
+
     pub(crate) fn optional_address(&mut self, key: &str, into: &mut SocketAddr) -> bool {
         let Some(entry) = self.entry(key) else {
             return false;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -35,6 +35,9 @@
     pub data_centre: String,
     /// Longest time that a drain waits for running requests.
     pub drain: Duration,
+    /// Peers' ports of other daemons, asked for table and configuration when the daemon starts
+    /// while the platform's service does not answer.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Ports of the daemon.
@@ -124,6 +127,7 @@
             region: "local".into(),
             data_centre: "dc-a".into(),
             drain: Duration::from_secs(120),
+            seeds: Vec::new(),
         }
     }
 }
--- a/crates/config/src/settings_read.rs
+++ b/crates/config/src/settings_read.rs
@@ -81,11 +81,13 @@
 }
 
 fn read_daemon(daemon: &mut Daemon, reader: &mut Reader<'_, '_>) {
-    reader.check_keys(&["name", "region", "data_centre", "drain_ms"], None);
+    let keys = ["name", "region", "data_centre", "drain_ms", "seeds"];
+    reader.check_keys(&keys, None);
     reader.name("name", &mut daemon.name);
     reader.name("region", &mut daemon.region);
     reader.name("data_centre", &mut daemon.data_centre);
     reader.millis("drain_ms", 0..=3_600_000, &mut daemon.drain);
+    reader.addresses("seeds", &mut daemon.seeds);
 }
 
 fn read_listen(listen: &mut Listen, reader: &mut Reader<'_, '_>) {
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use masticdeal_ownership::change::Delta;
+use masticdeal_ownership::checker;
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_ownership::lease::{Effect, Event, Expiry, Outcome, Renewal};
 use masticdeal_ownership::table::Table;
@@ -21,6 +22,16 @@
 /// Longest sleep of the driver when the core asks for no earlier tick.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Ends the process on a broken invariant. A daemon that may be wrong about what it owns must not
+/// serve; its lease then runs out and its shards get other owners.
+fn require(checked: checker::Result<()>) {
+    if let Err(violation) = checked {
+        log::error!("invariant broken: {violation}");
+        log::logger().flush();
+        std::process::abort();
+    }
+}
+
 impl Control {
     /// Lets the core act at the times it asks for, until the task is dropped.
     pub async fn drive(self: Arc<Self>) {
@@ -66,6 +77,7 @@
         let effects = {
             let mut core = self.core.lock().unwrap();
             let effects = core.handle(self.node.clock.now(), event);
+            require(checker::check_core(&core, self.node.clock.now()));
             // Published under the lock, so that tables appear in the order of their versions.
             for effect in &effects {
                 if let Effect::TableChanged(table) = effect {
@@ -114,6 +126,8 @@
         } else {
             history.clear();
         }
+        require(checker::check_table(table));
+        require(checker::check_step(&before, table));
         self.node.table.send_replace(table.clone());
     }
 
--- a/crates/daemon/src/control/news.rs
+++ b/crates/daemon/src/control/news.rs
@@ -3,6 +3,7 @@
 //! News travels along a tree of peers; versions in heartbeats and forwarded requests make up for
 //! what the tree missed.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,6 +84,34 @@
         }
     }
 
+    /// Learns table and configuration from other daemons, for a start while the platform's service
+    /// does not answer: first from the seeds of the settings, then from one session of each data
+    /// centre, so that the highest revision that any of them holds counts.
+    pub(super) async fn start_from_peers(self: &Arc<Self>) {
+        for &seed in &self.node.settings.daemon.seeds {
+            let pull = Pull {
+                have: self.node.versions(),
+            };
+            let answer = self.peers.control(seed, PATH_PULL, &pull, TIMEOUT).await;
+            match answer {
+                Ok(news) => self.learn_news(news),
+                Err(e) => log::warn!("seed {seed} does not answer: {e}"),
+            }
+        }
+        for session in self.one_per_data_centre() {
+            self.clone().pull_from(session).await;
+        }
+    }
+
+    fn one_per_data_centre(&self) -> Vec<SessionId> {
+        let table = self.node.table.borrow();
+        let mut first = BTreeMap::new();
+        for session in &table.sessions {
+            first.entry(&*session.data_centre).or_insert(session.id);
+        }
+        first.into_values().collect()
+    }
+
     /// Acts on versions that forwarded requests reported, until the task is dropped.
     pub async fn follow_reports(self: Arc<Self>) {
         let mut reported = self.node.reported.subscribe();
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -113,6 +113,7 @@
         while self.config.current().revision == 0 {
             if let Err(e) = self.config.refresh().await {
                 log::warn!("configuration is not read: {e}");
+                self.start_from_peers().await;
             }
             tokio::time::sleep(RETRY).await;
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,7 +22,11 @@
 use crate::telemetry::logs;
 use crate::{ingress, shutdown};
 
-/// Longest time that a leaving daemon waits for its shards to move and its session to end.
+/// Longest time for which a leaving daemon still takes new work while its shards move. A leaving
+/// target gets no new work after 2 s.
+const SHARDS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for the end of the session once nothing runs any more.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why the daemon cannot run.
@@ -100,9 +104,12 @@
     log::info!("{} is listening", node.settings.daemon.name);
     stop_signal().await;
     log::info!("stopping");
-    node.draining.send_replace(true);
-    leave(&control).await;
+    control.feed(Event::LeaveRequested);
+    await_left(&control, SHARDS_TIMEOUT).await;
     shutdown::shutdown(&node).await;
+    if !await_left(&control, LEAVE_TIMEOUT).await {
+        log::warn!("the session is still in the table at the end of the wait");
+    }
     // Both end by themselves once nothing is in progress.
     let _ = callers_served.await;
     let _ = peers_served.await;
@@ -207,14 +214,11 @@
     tokio::spawn(election.run());
 }
 
-/// Lets the shards move away and the session end, within a bound.
-async fn leave(control: &Arc<Control>) {
-    control.feed(Event::LeaveRequested);
+/// Returns whether the session ended within `limit`.
+async fn await_left(control: &Arc<Control>, limit: Duration) -> bool {
     let mut session = control.node.session.subscribe();
     let ended = session.wait_for(Option::is_none);
-    if tokio::time::timeout(LEAVE_TIMEOUT, ended).await.is_err() {
-        log::warn!("the session is still in the table at the end of the wait");
-    }
+    tokio::time::timeout(limit, ended).await.is_ok()
 }
 
 async fn stop_signal() {
