Adapt the long share to demand and measure the queue in virtual time

Change: long work keeps to the slots that short demand leaves, within the operator's share; the wait is bounded; unknown shapes count like their siblings; a virtual-time example measures it.

--- /dev/null
+++ b/crates/policy/examples/measure/jobs.rs
@@ -0,0 +1,44 @@
+//! Runs independent simulations on a few threads.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use crate::table::{Row, Table};
+
+/// Threads at most.
+const THREADS: usize = 3;
+
+/// One run: the case it belongs to, its seed and what it measures.
+pub struct Job<'a> {
+    /// Values that name the case.
+    pub case: Vec<String>,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Measures the values of a row.
+    pub measure: Box<dyn Fn(u64) -> Vec<f64> + Send + Sync + 'a>,
+}
+
+/// Runs all jobs and adds their rows to the table in the order of the jobs.
+pub fn run(jobs: &[Job<'_>], table: &mut Table) {
+    let next = AtomicUsize::new(0);
+    let rows: Mutex<Vec<(usize, Row)>> = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(job) = jobs.get(at) else { return };
+                    let row = Row {
+                        case: job.case.clone(),
+                        seed: job.seed,
+                        values: (job.measure)(job.seed),
+                    };
+                    rows.lock().expect("no job panicked").push((at, row));
+                }
+            });
+        }
+    });
+    let mut rows = rows.into_inner().expect("no job panicked");
+    rows.sort_by_key(|(at, _)| *at);
+    table.rows.extend(rows.into_iter().map(|(_, row)| row));
+}
--- /dev/null
+++ b/crates/policy/examples/measure/main.rs
@@ -0,0 +1,50 @@
+//! Measures the policy code in virtual time.
+//!
+//! `cargo run --release -p masticdeal-policy --example measure -- EXPERIMENT DIRECTORY` writes
+//! `DIRECTORY/policy-EXPERIMENT.csv`, one row per run, and prints medians with the least and the
+//! greatest value over the seeds.
+
+mod events;
+mod fleet;
+mod jobs;
+mod mix;
+mod scenario;
+mod sim;
+mod stats;
+mod table;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Seeds of the runs; each policy sees the same arrivals for one seed.
+const SEEDS: [u64; 5] = [11, 12, 13, 14, 15];
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [experiment, directory] = args.as_slice() else {
+        eprintln!("usage: measure EXPERIMENT DIRECTORY");
+        return ExitCode::FAILURE;
+    };
+    let table = match experiment.as_str() {
+        "mix" => mix::constant(&SEEDS, false),
+        "unseen" => mix::constant(&SEEDS, true),
+        "speeds" => fleet::speeds(&SEEDS),
+        "lying" => fleet::lying(&SEEDS),
+        "ejection" => fleet::ejection(&SEEDS),
+        "retries" => fleet::retries(&SEEDS),
+        "start" => mix::start(&SEEDS),
+        "flood" => mix::flood(&SEEDS),
+        "swing" => mix::swing(&SEEDS),
+        other => {
+            eprintln!("no experiment `{other}`");
+            return ExitCode::FAILURE;
+        }
+    };
+    table.print();
+    let path = PathBuf::from(directory).join(format!("policy-{experiment}.csv"));
+    if let Err(error) = table.write(&path) {
+        eprintln!("{}: {error}", path.display());
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/policy/examples/measure/sim.rs
@@ -0,0 +1,478 @@
+//! Virtual-time simulation of callers, ingresses and targets around the policy code.
+//!
+//! Arrivals are open-loop: they do not wait for answers, and a latency counts from when the
+//! request was due. A target shares its processor among its running requests: up to its slots each
+//! runs at full speed, beyond them all slow down alike.
+
+use std::time::Duration;
+
+use masticdeal_policy::balance::{Balancer, Sent, TargetIx};
+use masticdeal_policy::classes::{self, Classes};
+use masticdeal_policy::deadline::Deadline;
+use masticdeal_policy::eject::{Change, Ejector, Standing};
+use masticdeal_policy::limit::{self, Limit};
+use masticdeal_policy::outcome::{Ending, Outcome};
+use masticdeal_policy::queue::{Permit, Queue, Ticket, TicketId};
+use masticdeal_policy::retry::{self, Budget, Decision, Failed};
+use masticdeal_policy::{Verdict, queue};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::events::Events;
+use crate::scenario::{Report, Scenario};
+use crate::stats::{Answer, Run};
+
+/// Time between two load reports of a target.
+const REPORT_EVERY: f64 = 1.0;
+
+/// A request of the simulated callers.
+struct Request {
+    due: f64,
+    long: bool,
+    work: f64,
+    path: String,
+    deadline: f64,
+    attempts: u32,
+    ingress: usize,
+    caller_fault: bool,
+    /// Whether its caller asks for the impossible.
+    bad: bool,
+    /// Wait that the last refusal asked for.
+    retry_after: Option<Duration>,
+    /// How the request ends when its deadline passes.
+    at_deadline: Ending,
+    target: usize,
+    sent: Option<Sent>,
+    place: Option<TicketId>,
+}
+
+struct Job {
+    req: usize,
+    permit: Permit,
+    left: f64,
+    started: f64,
+    fails: bool,
+}
+
+struct Target {
+    queue: Queue<usize>,
+    classes: Classes,
+    jobs: Vec<Job>,
+    shape_of: Vec<(usize, classes::ShapeId)>,
+    speed: f64,
+    slots: usize,
+    advanced: f64,
+    version: u64,
+    timer: f64,
+}
+
+struct Ingress {
+    balancer: Balancer,
+    ejector: Option<Ejector>,
+    budget: Budget,
+}
+
+enum Event {
+    Arrive,
+    Attempt(usize),
+    JobEnds(usize, u64),
+    Timer(usize),
+    Deadline(usize),
+    Reports,
+}
+
+struct Sim<'a> {
+    scenario: &'a Scenario,
+    arrivals: StdRng,
+    rng: StdRng,
+    now: f64,
+    events: Events<Event>,
+    requests: Vec<Request>,
+    targets: Vec<Target>,
+    ingresses: Vec<Ingress>,
+    run: Run,
+}
+
+/// Runs a scenario with one seed.
+pub fn run(scenario: &Scenario, seed: u64) -> Run {
+    let mut sim = Sim::new(scenario, seed);
+    sim.schedule(0.0, Event::Arrive);
+    sim.schedule(0.0, Event::Reports);
+    while let Some((at, event)) = sim.events.pop() {
+        sim.now = at;
+        sim.handle(event);
+    }
+    sim.run
+}
+
+fn time(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.max(0.0))
+}
+
+impl<'a> Sim<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let target = |speed: &f64| {
+            let slots = scenario.limit.unwrap_or(scenario.slots);
+            let limit = Limit::new(limit::Settings::default(), slots);
+            Target {
+                queue: Queue::new(scenario.queue.clone(), limit),
+                classes: Classes::new(scenario.classes.clone()),
+                jobs: Vec::new(),
+                shape_of: Vec::new(),
+                speed: *speed,
+                slots: scenario.slots,
+                advanced: 0.0,
+                version: 0,
+                timer: f64::INFINITY,
+            }
+        };
+        let targets: Vec<Target> = scenario.speeds.iter().map(target).collect();
+        let ingress = |_| {
+            let mut balancer = Balancer::new(scenario.balance.clone());
+            for ix in 0..targets.len() {
+                balancer.add(Duration::ZERO, TargetIx(ix as u32), false);
+            }
+            let settings = scenario.eject.clone();
+            Ingress {
+                balancer,
+                ejector: settings.map(|settings| Ejector::new(settings, targets.len())),
+                budget: Budget::new(Duration::ZERO, scenario.budget.clone()),
+            }
+        };
+        Self {
+            scenario,
+            // Arrivals have a generator of their own, so that all policies see the same ones.
+            arrivals: StdRng::seed_from_u64(seed),
+            rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            now: 0.0,
+            events: Events::new(),
+            requests: Vec::new(),
+            ingresses: (0..scenario.ingresses).map(ingress).collect(),
+            targets,
+            run: Run::new(scenario),
+        }
+    }
+
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.events.push(at.max(self.now), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Attempt(req) => self.attempt(req),
+            Event::JobEnds(target, version) => {
+                if self.targets[target].version == version {
+                    self.end_jobs(target);
+                }
+            }
+            Event::Timer(target) => {
+                if self.targets[target].timer <= self.now {
+                    self.targets[target].timer = f64::INFINITY;
+                    self.pump(target);
+                }
+            }
+            Event::Deadline(req) => self.deadline(req),
+            Event::Reports => self.reports(),
+        }
+    }
+
+    /// Draws the next arrival by thinning a Poisson process of the peak rate.
+    fn arrive(&mut self) {
+        let scenario = self.scenario;
+        let gap: f64 = -(1.0 - self.arrivals.random::<f64>()).ln() / scenario.peak_rate;
+        let kept = self.arrivals.random::<f64>() * scenario.peak_rate < (scenario.rate)(self.now);
+        let next = self.now + gap;
+        let drawn = scenario.draw(self.now, &mut self.arrivals);
+        if next < scenario.length {
+            self.schedule(next, Event::Arrive);
+        }
+        if !kept || (drawn.long && scenario.skip_long) {
+            return;
+        }
+        let ingress = self.arrivals.random_range(0..scenario.ingresses);
+        let req = self.requests.len();
+        self.requests.push(Request {
+            due: self.now,
+            long: drawn.long,
+            work: drawn.work,
+            path: drawn.path,
+            deadline: self.now + drawn.deadline,
+            attempts: 0,
+            ingress,
+            caller_fault: drawn.caller_fault,
+            bad: drawn.bad,
+            retry_after: None,
+            at_deadline: drawn.at_deadline,
+            target: 0,
+            sent: None,
+            place: None,
+        });
+        if !drawn.bad {
+            self.run.offered(self.now, drawn.long);
+        }
+        self.ingresses[ingress].budget.deposit(time(self.now));
+        self.schedule(self.requests[req].deadline, Event::Deadline(req));
+        self.attempt(req);
+    }
+
+    fn attempt(&mut self, req: usize) {
+        let now = time(self.now);
+        self.requests[req].attempts += 1;
+        let ingress = &mut self.ingresses[self.requests[req].ingress];
+        let probe = ingress.ejector.as_ref().and_then(|ejector| {
+            let all = (0..self.targets.len() as u32).map(TargetIx);
+            let mut probes = all.filter(|ix| ejector.standing(now, *ix) == Standing::Probe);
+            probes.next()
+        });
+        let standing = |ix: TargetIx| match &ingress.ejector {
+            Some(ejector) => ejector.standing(now, ix) == Standing::In,
+            None => true,
+        };
+        let chosen = match probe {
+            Some(ix) => Some(ix),
+            None => ingress.balancer.choose_among(now, &mut self.rng, standing),
+        };
+        let Some(ix) = chosen else {
+            return self.ended(req, Ending::PeerFailed, Verdict::NotRun);
+        };
+        if let (Some(ejector), Some(_)) = (&mut ingress.ejector, probe) {
+            ejector.begin_probe(now, ix);
+        }
+        let sent = ingress.balancer.start(now, ix);
+        self.run.attempt(self.now, ix.0 as usize);
+        let request = &mut self.requests[req];
+        request.sent = Some(sent);
+        request.target = ix.0 as usize;
+        self.enqueue(req);
+    }
+
+    fn enqueue(&mut self, req: usize) {
+        let now = time(self.now);
+        let request = &mut self.requests[req];
+        let target = &mut self.targets[request.target];
+        let class = target.classes.classify(
+            now,
+            classes::Request {
+                service: "library",
+                method: "GET",
+                path: &request.path,
+                key_segment: None,
+            },
+        );
+        let ticket = Ticket::new(class, time(request.deadline));
+        target.shape_of.push((req, class.shape));
+        match target.queue.push(now, ticket, req) {
+            Ok(id) => {
+                request.place = Some(id);
+                let at = request.target;
+                self.pump(at);
+            }
+            Err(refused) => self.refused(refused),
+        }
+    }
+
+    fn refused(&mut self, refused: queue::Refused<usize>) {
+        let req = refused.item;
+        let target = &mut self.targets[self.requests[req].target];
+        target.shape_of.retain(|(other, _)| *other != req);
+        self.requests[req].place = None;
+        self.requests[req].retry_after = Some(refused.refusal.retry_after);
+        self.ended(req, Ending::Shed, refused.refusal.verdict());
+    }
+
+    /// Starts what may run at a target and refuses what came too late.
+    fn pump(&mut self, at: usize) {
+        let now = time(self.now);
+        self.advance(at);
+        let target = &mut self.targets[at];
+        if self.scenario.review {
+            target.queue.review(now, &mut target.classes);
+        }
+        while let Some((req, permit)) = target.queue.pop(now) {
+            let request = &self.requests[req];
+            let share = self.scenario.faults.share(self.now, at);
+            let fails = self.rng.random::<f64>() < share;
+            // A failure and a rejected request take a tenth of the time.
+            let early = fails || request.caller_fault;
+            target.jobs.push(Job {
+                req,
+                permit,
+                left: if early {
+                    request.work / 10.0
+                } else {
+                    request.work
+                },
+                started: self.now,
+                fails,
+            });
+        }
+        let refused = target.queue.expire(now);
+        let next = target.queue.next_event(now);
+        let next = next.map_or(f64::INFINITY, |next| next.as_secs_f64() + 1e-6);
+        if next < target.timer {
+            target.timer = next;
+            self.schedule(next, Event::Timer(at));
+        }
+        self.expect_end(at);
+        for one in refused {
+            self.refused(one);
+        }
+    }
+
+    fn rate(&self, at: usize) -> f64 {
+        let target = &self.targets[at];
+        let crowd = target.jobs.len().max(1) as f64;
+        target.speed * (target.slots as f64 / crowd).min(1.0)
+    }
+
+    fn advance(&mut self, at: usize) {
+        let done = (self.now - self.targets[at].advanced) * self.rate(at);
+        let target = &mut self.targets[at];
+        target.advanced = self.now;
+        for job in &mut target.jobs {
+            job.left -= done;
+        }
+    }
+
+    /// Schedules the next end of a job, and makes the ones scheduled before void.
+    fn expect_end(&mut self, at: usize) {
+        let rate = self.rate(at);
+        let target = &mut self.targets[at];
+        target.version += 1;
+        let version = target.version;
+        let left = target.jobs.iter().map(|job| job.left);
+        if let Some(least) = left.min_by(f64::total_cmp) {
+            self.schedule(
+                self.now + least.max(0.0) / rate,
+                Event::JobEnds(at, version),
+            );
+        }
+    }
+
+    fn end_jobs(&mut self, at: usize) {
+        self.advance(at);
+        while let Some(job) = self.targets[at]
+            .jobs
+            .iter()
+            .position(|job| job.left <= 1e-9)
+        {
+            let job = self.targets[at].jobs.swap_remove(job);
+            self.end_job(at, job);
+        }
+        self.pump(at);
+    }
+
+    fn end_job(&mut self, at: usize, job: Job) {
+        let now = time(self.now);
+        let req = job.req;
+        let caller_fault = self.requests[req].caller_fault;
+        let took = time(self.now - job.started);
+        let valid = !job.fails && !caller_fault;
+        let target = &mut self.targets[at];
+        target.queue.finish(now, job.permit, valid.then_some(took));
+        let shape = target.shape_of.iter().position(|(other, _)| *other == req);
+        if let Some(shape) = shape {
+            let (_, shape) = target.shape_of.swap_remove(shape);
+            if valid {
+                target.classes.record(now, shape, took);
+            }
+        }
+        self.requests[req].place = None;
+        let (ending, verdict) = match (job.fails, caller_fault) {
+            (true, _) => (Ending::Status(500), Verdict::MayHaveRun),
+            (_, true) => (Ending::Status(400), Verdict::Ran),
+            _ => (Ending::Status(200), Verdict::Ran),
+        };
+        self.ended(req, ending, verdict);
+    }
+
+    /// The caller gives up at its deadline; the target accepts the cancellation.
+    fn deadline(&mut self, req: usize) {
+        let Some(id) = self.requests[req].place.take() else {
+            return;
+        };
+        let at = self.requests[req].target;
+        self.advance(at);
+        let target = &mut self.targets[at];
+        target.shape_of.retain(|(other, _)| *other != req);
+        if let queue::Cancelled::Running = target.queue.cancel(id) {
+            let job = target.jobs.iter().position(|job| job.req == req);
+            let job = target
+                .jobs
+                .swap_remove(job.expect("a running request has a job"));
+            target.queue.finish(time(self.now), job.permit, None);
+        }
+        self.ended(req, self.requests[req].at_deadline, Verdict::MayHaveRun);
+        self.pump(at);
+    }
+
+    /// Reports the end of an attempt to the ingress, which may try again.
+    fn ended(&mut self, req: usize, ending: Ending, verdict: Verdict) {
+        let now = time(self.now);
+        let outcome = ending.outcome();
+        let request = &mut self.requests[req];
+        let ingress = &mut self.ingresses[request.ingress];
+        if let Some(sent) = request.sent.take() {
+            let ix = sent.target();
+            ingress
+                .balancer
+                .finish(now, sent, outcome == Outcome::Success);
+            if let Some(ejector) = &mut ingress.ejector {
+                match ejector.record(now, ix, outcome) {
+                    Some(Change::Ejected(_)) => self.run.ejected(ix.0 as usize),
+                    Some(Change::Returned) => ingress.balancer.add(now, ix, true),
+                    None => {}
+                }
+            }
+        }
+        if outcome != Outcome::Success && outcome != Outcome::CallerFault {
+            let failed = Failed {
+                attempt: request.attempts,
+                idempotent: true,
+                verdict,
+                outcome,
+                answer_begun: false,
+                deadline: Deadline::new(Duration::ZERO, None, time(request.deadline)),
+                expected: Duration::ZERO,
+                retry_after: request.retry_after.take(),
+            };
+            let random = self.rng.random();
+            let settings = &self.scenario.retry;
+            let again = retry::decide(now, &failed, &mut ingress.budget, settings, random);
+            if let Decision::Retry(wait) = again {
+                let at = self.now + wait.as_secs_f64();
+                return self.schedule(at, Event::Attempt(req));
+            }
+        }
+        if request.bad {
+            return;
+        }
+        self.run.answer(&Answer {
+            due: request.due,
+            end: self.now,
+            long: request.long,
+            work: request.work,
+            outcome,
+            in_time: self.now <= request.deadline,
+        });
+    }
+
+    fn reports(&mut self) {
+        let now = time(self.now);
+        for at in 0..self.targets.len() {
+            let busy = self.targets[at].queue.running() as f64 / self.targets[at].slots as f64;
+            let load = match self.scenario.reports[at % self.scenario.reports.len()] {
+                Report::None => continue,
+                Report::True => busy,
+                Report::Idle => 0.0,
+            };
+            for ingress in &mut self.ingresses {
+                ingress.balancer.report(now, TargetIx(at as u32), load);
+            }
+        }
+        if self.now < self.scenario.length {
+            self.schedule(self.now + REPORT_EVERY, Event::Reports);
+        }
+    }
+}
--- a/crates/policy/src/classes.rs
+++ b/crates/policy/src/classes.rs
@@ -5,6 +5,10 @@
 //! that together make up a set part of its requests. The reference follows the cheap work, so a
 //! few long requests do not move it.
 //!
+//! A shape that is not known yet counts like its siblings, the shapes that differ only in the last
+//! segment, if most of their requests are long, and is short otherwise. Without that, a service
+//! that names its downloads in words would start each of them as short.
+//!
 //! Invariants: the table never holds more than [`Settings::capacity`] shapes; a shape changes
 //! class only when it crosses the ratio on the far side of the hysteresis band.
 
@@ -39,8 +43,17 @@
     pub shape: ShapeId,
     /// Cost class of the shape.
     pub cost: Cost,
-    /// Smoothed service time; `None` while the shape has too few samples, or only old ones.
-    pub expected: Option<Duration>,
+    /// Expected service time; `None` while the shape has too few samples, or only old ones.
+    pub expected: Option<Expected>,
+}
+
+/// Expected service time of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expected {
+    /// Smoothed mean.
+    pub mean: Duration,
+    /// Time that most requests of the shape stay below: the mean and twice the mean deviation.
+    pub most: Duration,
 }
 
 /// The parts of a request that name its shape.
@@ -74,6 +87,8 @@
     /// Age after which a smoothed service time no longer predicts anything. It lets a shape that
     /// was refused for its expected time be measured again.
     pub forget: Duration,
+    /// Whether an unknown shape counts like its siblings.
+    pub siblings: bool,
 }
 
 impl Default for Settings {
@@ -86,6 +101,7 @@
             reference_share: 0.25,
             min_samples: 4,
             forget: Duration::from_secs(15),
+            siblings: true,
         }
     }
 }
@@ -99,6 +115,8 @@
     mixes: Vec<Mix>,
     /// Scratch space for the key of a look-up.
     key: String,
+    /// Changes of class so far.
+    changes: u64,
 }
 
 #[derive(Debug)]
@@ -106,10 +124,15 @@
     key: Box<str>,
     generation: u32,
     mix: usize,
+    /// Entry that stands for this shape and its siblings.
+    siblings: Option<ShapeId>,
+    /// Whether this is such an entry.
+    stands_for_many: bool,
     cost: Cost,
     samples: u32,
-    /// Smoothed service time in seconds.
+    /// Smoothed service time and its smoothed mean deviation, in seconds.
     mean: f64,
+    deviation: f64,
     /// Recent requests; halved at each review.
     weight: f64,
     used: Duration,
@@ -134,6 +157,7 @@
             shapes: Vec::new(),
             mixes: Vec::new(),
             key: String::new(),
+            changes: 0,
         }
     }
 
@@ -142,35 +166,36 @@
     /// A new shape is short. A full table evicts the shape with the fewest recent requests.
     pub fn classify(&mut self, now: Duration, req: Request<'_>) -> Class {
         self.write_key(req);
-        let index = match self.by_key.get(self.key.as_str()) {
-            Some(&index) => index,
-            None => self.insert(now, req.service),
-        };
-        let shape = &mut self.shapes[index as usize];
-        shape.used = now;
-        shape.weight += 1.0;
-        let id = ShapeId {
-            index,
-            generation: shape.generation,
-        };
+        let id = self.look_up(now, req.service);
+        let known = self.is_known(id);
+        if !known && self.settings.siblings {
+            self.join_siblings(now, id, req.service);
+        }
         Class {
             shape: id,
-            cost: shape.cost,
+            cost: self.cost(id).unwrap_or(Cost::Short),
             expected: self.expected(now, id),
         }
     }
 
     /// Returns the present class of a shape; `None` when it was evicted.
     pub fn cost(&self, id: ShapeId) -> Option<Cost> {
-        self.get(id).map(|shape| shape.cost)
+        let shape = self.get(id)?;
+        if shape.cost == Cost::Long || self.is_known(id) {
+            return Some(shape.cost);
+        }
+        let siblings = shape.siblings.and_then(|siblings| self.get(siblings));
+        Some(siblings.map_or(Cost::Short, |siblings| siblings.cost))
     }
 
-    /// Returns the smoothed service time of a shape, if it is known and not outdated.
-    pub fn expected(&self, now: Duration, id: ShapeId) -> Option<Duration> {
+    /// Returns the expected service time of a shape, if it is known and not outdated.
+    pub fn expected(&self, now: Duration, id: ShapeId) -> Option<Expected> {
         let shape = self.get(id)?;
-        let known = shape.samples >= self.settings.min_samples;
         let fresh = now.saturating_sub(shape.sampled) <= self.settings.forget;
-        (known && fresh).then(|| Duration::from_secs_f64(shape.mean))
+        (self.is_known(id) && fresh).then(|| Expected {
+            mean: Duration::from_secs_f64(shape.mean),
+            most: Duration::from_secs_f64(shape.mean + 2.0 * shape.deviation),
+        })
     }
 
     /// Returns the running time above which a request of the service counts as long; `None` until
@@ -188,18 +213,17 @@
 
     /// Records the service time of a finished request. Stale handles are ignored.
     pub fn record(&mut self, now: Duration, id: ShapeId, service_time: Duration) {
-        let smoothing = self.settings.smoothing;
-        let Some(shape) = self.get_mut(id) else {
+        let Some(shape) = self.get(id) else {
             return;
         };
-        shape.samples = shape.samples.saturating_add(1);
-        shape.sampled = now;
-        // The first samples count alike, so that the start does not linger.
-        let weight = smoothing.max(1.0 / f64::from(shape.samples));
-        shape.mean += weight * (service_time.as_secs_f64() - shape.mean);
-        let mix = shape.mix;
+        let (mix, siblings) = (shape.mix, shape.siblings);
+        self.sample(now, id, service_time);
+        // With its samples cut off at twice the bound, the mean of the siblings passes the bound
+        // when about half of the requests do, however long those are.
+        if let (Some(siblings), Some(bound)) = (siblings, self.short_bound_of(id)) {
+            self.sample(now, siblings, service_time.min(2 * bound));
+        }
         self.count(mix);
-        self.reclassify(id.index as usize);
     }
 
     /// Notes that a request has been running for `elapsed`, and returns the class that it counts
@@ -217,12 +241,19 @@
         let min_samples = self.settings.min_samples;
         if let Some(shape) = self.get_mut(id)
             && shape.samples < min_samples
+            && shape.cost == Cost::Short
         {
             shape.cost = Cost::Long;
+            self.changes += 1;
         }
         Cost::Long
     }
 
+    /// Returns how often a shape has changed class, so that a queue sees when to look again.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the number of shapes held.
     pub fn len(&self) -> usize {
         self.shapes.len()
@@ -233,6 +264,57 @@
         self.shapes.is_empty()
     }
 
+    fn sample(&mut self, now: Duration, id: ShapeId, service_time: Duration) {
+        let smoothing = self.settings.smoothing;
+        let Some(shape) = self.get_mut(id) else {
+            return;
+        };
+        shape.samples = shape.samples.saturating_add(1);
+        shape.sampled = now;
+        // The first samples count alike, so that the start does not linger.
+        let weight = smoothing.max(1.0 / f64::from(shape.samples));
+        let error = service_time.as_secs_f64() - shape.mean;
+        shape.mean += weight * error;
+        if shape.samples > 1 {
+            shape.deviation += weight * (error.abs() - shape.deviation);
+        }
+        self.reclassify(id.index as usize);
+    }
+
+    fn is_known(&self, id: ShapeId) -> bool {
+        let samples = self.get(id).map_or(0, |shape| shape.samples);
+        samples >= self.settings.min_samples
+    }
+
+    /// Finds the entry of the key that was written last, or makes it.
+    fn look_up(&mut self, now: Duration, service: &str) -> ShapeId {
+        let index = match self.by_key.get(self.key.as_str()) {
+            Some(&index) => index,
+            None => self.insert(now, service),
+        };
+        let shape = &mut self.shapes[index as usize];
+        shape.used = now;
+        shape.weight += 1.0;
+        ShapeId {
+            index,
+            generation: shape.generation,
+        }
+    }
+
+    /// Points a shape at the entry of its siblings, whose key ends in `/+`.
+    fn join_siblings(&mut self, now: Duration, id: ShapeId, service: &str) {
+        let Some(end) = self.key.rfind('/') else {
+            return;
+        };
+        self.key.truncate(end);
+        self.key.push_str("/+");
+        let siblings = self.look_up(now, service);
+        self.shapes[siblings.index as usize].stands_for_many = true;
+        if let Some(shape) = self.get_mut(id) {
+            shape.siblings = Some(siblings);
+        }
+    }
+
     fn write_key(&mut self, req: Request<'_>) {
         self.key.clear();
         self.key.push_str(req.service);
@@ -263,9 +345,12 @@
             key: self.key.as_str().into(),
             generation: 0,
             mix,
+            siblings: None,
+            stands_for_many: false,
             cost: Cost::Short,
             samples: 0,
             mean: 0.0,
+            deviation: 0.0,
             weight: 0.0,
             used: now,
             sampled: now,
@@ -330,7 +415,10 @@
 
     /// Returns the smoothed time of the shape at [`Settings::reference_share`] of the requests.
     fn reference(&self, mix: usize) -> Option<f64> {
-        let known = |shape: &&Shape| shape.mix == mix && shape.samples >= self.settings.min_samples;
+        let known = |shape: &&Shape| {
+            let counts = shape.mix == mix && !shape.stands_for_many;
+            counts && shape.samples >= self.settings.min_samples
+        };
         let mut times: Vec<(f64, f64)> = self
             .shapes
             .iter()
@@ -358,10 +446,14 @@
         if shape.samples < self.settings.min_samples {
             return;
         }
-        if shape.mean > reference * self.settings.long_ratio {
-            shape.cost = Cost::Long;
+        let cost = if shape.mean > reference * self.settings.long_ratio {
+            Cost::Long
         } else if shape.mean < reference * self.settings.short_ratio {
-            shape.cost = Cost::Short;
-        }
+            Cost::Short
+        } else {
+            return;
+        };
+        self.changes += u64::from(cost != shape.cost);
+        shape.cost = cost;
     }
 }
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -34,7 +34,8 @@
     pub min_errors: f64,
     /// Share of errors from which a target is ejected.
     pub error_share: f64,
-    /// Length of the first ejection; each further one doubles it.
+    /// Length of the first ejection. Each further one doubles it, until the target has stayed in
+    /// rotation for [`Settings::longest`].
     pub base: Duration,
     /// Longest ejection.
     pub longest: Duration,
@@ -92,6 +93,8 @@
     counted: Duration,
     /// Ejections in a row, which set the length of the next.
     strikes: u32,
+    /// When the target last returned.
+    returned: Duration,
     out: Option<Ejection>,
 }
 
@@ -189,9 +192,13 @@
     }
 
     fn eject(&mut self, now: Duration, at: usize) -> Change {
+        let longest = self.settings.longest;
         let state = &mut self.targets[at];
+        if state.out.is_none() && now > state.returned + longest {
+            state.strikes = 0;
+        }
         let doubled = self.settings.base * 2u32.saturating_pow(state.strikes.min(16));
-        let until = now + doubled.min(self.settings.longest);
+        let until = now + doubled.min(longest);
         state.strikes += 1;
         state.requests = 0.0;
         state.errors = 0.0;
@@ -218,6 +225,7 @@
         }
         state.out = None;
         state.counted = now;
+        state.returned = now;
         Some(Change::Returned)
     }
 }
@@ -229,7 +237,4 @@
     state.requests *= kept;
     state.errors *= kept;
     state.counted = now;
-    if state.requests < 0.01 {
-        state.strikes = 0;
-    }
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -10,6 +10,7 @@
 //! waiting, running, refused, cancelled or finished, and exactly one of these. A refused request
 //! was never handed out, so its verdict is always `NotRun`.
 
+mod demand;
 mod estimate;
 mod lanes;
 mod types;
@@ -19,6 +20,7 @@
 
 use crate::classes::{Classes, Cost, ShapeId};
 use crate::limit::Limit;
+use demand::Demand;
 use lanes::{Entry, Lanes};
 
 pub use types::{
@@ -45,8 +47,12 @@
     short_bound: Option<Duration>,
     /// Smoothed service times by class, in seconds.
     means: [Option<f64>; 2],
+    /// What short work asks for, refused requests included.
+    demand: Demand,
     /// Set while draining: until when queued requests may still start.
     start_until: Option<Duration>,
+    /// Changes of the classes that the waiting requests follow.
+    classes_seen: u64,
     next_id: u64,
     counts: Counts,
 }
@@ -85,7 +91,9 @@
             refused: Vec::new(),
             short_bound: None,
             means: [None; 2],
+            demand: Demand::default(),
             start_until: None,
+            classes_seen: 0,
             next_id: 0,
             counts: Counts::default(),
         }
@@ -100,27 +108,25 @@
     /// [`Refused`] gives the item back with the reason and the time after which a retry is likely
     /// to be admitted. The request was not run.
     pub fn push(&mut self, now: Duration, ticket: Ticket, item: T) -> Result<TicketId, Refused<T>> {
-        let expected = ticket.expected.unwrap_or_else(|| self.mean(ticket.cost));
+        let expected = self.expected(&ticket);
+        if ticket.cost == Cost::Short {
+            self.demand.count(now, expected.mean);
+        }
         if let Err(refusal) = self.admit(now, &ticket, expected) {
             return Err(Refused { refusal, item });
         }
         let id = TicketId(self.next_id);
         self.next_id += 1;
         self.counts.admitted += 1;
-        let latest = ticket.deadline.saturating_sub(expected);
+        let latest = ticket.deadline.saturating_sub(expected.most);
         self.lanes.push(Entry {
             id,
             cost: ticket.cost,
             shape: ticket.shape,
-            expected,
+            expected: expected.mean,
             arrived: now,
             ages_at: self.ages_at(now, latest),
-            // A request that is admitted as a trial may start until its deadline.
-            start_by: if latest < now {
-                ticket.deadline
-            } else {
-                latest
-            },
+            start_by: self.start_by(now, ticket.deadline, latest),
             item,
         });
         self.check();
@@ -204,7 +210,6 @@
     /// requests of a shape that became long move to the long work. The owner calls this at
     /// [`Queue::next_event`] and before [`Queue::pop`].
     pub fn review(&mut self, now: Duration, classes: &mut Classes) {
-        let mut moved = false;
         for request in &mut self.running {
             let Some(shape) = request.shape else { continue };
             self.short_bound = classes.short_bound_of(shape).or(self.short_bound);
@@ -213,11 +218,11 @@
             }
             let elapsed = now.saturating_sub(request.started);
             request.cost = classes.note_running(shape, elapsed);
-            moved |= request.cost == Cost::Long;
         }
-        if moved {
+        self.counts.allowed_long = self.counts.allowed_long.max(self.long_running());
+        if self.classes_seen != classes.changes() {
+            self.classes_seen = classes.changes();
             self.lanes.reclassify(|shape| classes.cost(shape));
-            self.counts.allowed_long = self.counts.allowed_long.max(self.long_running());
         }
         self.update_allowed(now);
         self.check();
@@ -298,12 +303,33 @@
 
     /// Returns the slots that long work may hold now.
     pub fn long_limit(&self, now: Duration) -> usize {
-        self.settings.long_part(self.limit.slots(now))
+        let slots = self.limit.slots(now);
+        let most = self.settings.long_part(slots);
+        if !self.settings.adapt_share {
+            return most;
+        }
+        // Half of its share stays to long work whatever short work asks for.
+        let least = most.div_ceil(2);
+        let left = slots.saturating_sub(self.demand.slots(now));
+        left.clamp(least, most)
+    }
+
+    /// Returns the last instant at which a request may start. A request that was admitted as a
+    /// trial, against its expected time, may start until its deadline.
+    fn start_by(&self, now: Duration, deadline: Duration, latest: Duration) -> Duration {
+        if self.settings.refuse_late && latest >= now {
+            latest
+        } else {
+            deadline
+        }
     }
 
     fn ages_at(&self, now: Duration, latest: Duration) -> Duration {
+        let Some(ageing) = self.settings.ageing else {
+            return Duration::MAX;
+        };
         let slack = latest.saturating_sub(now) / 2;
-        now.saturating_add(self.settings.ageing.min(slack))
+        now.saturating_add(ageing.min(slack))
     }
 
     /// Moves entries that may no longer start to the refused ones.
--- a/crates/policy/src/queue/estimate.rs
+++ b/crates/policy/src/queue/estimate.rs
@@ -7,7 +7,7 @@
 
 use super::types::{Order, Reason, Refusal, Ticket};
 use super::{Queue, RETRY_AFTER, Result, Running};
-use crate::classes::Cost;
+use crate::classes::{Cost, Expected};
 
 impl<T> Queue<T> {
     /// Decides whether a request may wait.
@@ -15,7 +15,7 @@
         &self,
         now: Duration,
         ticket: &Ticket,
-        expected: Duration,
+        expected: Expected,
     ) -> Result<(), Refusal> {
         if self.start_until.is_some() {
             return Err(refusal(Reason::Draining, RETRY_AFTER.0));
@@ -30,28 +30,37 @@
         if !self.settings.refuse_late || self.is_trial(ticket.cost) {
             return Ok(());
         }
-        let end = now + self.estimated_wait(now, ticket.cost) + expected;
-        match end.checked_sub(ticket.deadline) {
-            Some(excess) if !excess.is_zero() => Err(refusal(Reason::TooLate, excess)),
-            _ => Ok(()),
+        let left = ticket.deadline - now;
+        let fits = left.saturating_sub(expected.most);
+        let longest = fits.min(left.mul_f64(self.settings.max_wait));
+        let wait = self.estimated_wait(now, ticket.cost);
+        if wait > longest || expected.most > left {
+            return Err(refusal(Reason::TooLate, wait.saturating_sub(longest)));
         }
+        Ok(())
     }
 
     /// Returns the estimated wait of a request of this class that arrives now.
     pub fn estimated_wait(&self, now: Duration, cost: Cost) -> Duration {
         let slots = self.limit.slots(now);
-        let (open, ahead) = match (self.settings.order, cost) {
-            (Order::FirstCome, _) => (self.frees_at(now, slots, |_| true), self.all_work()),
-            (Order::ShortFirst, Cost::Short) => self.open_to_short(now, slots),
-            (Order::ShortFirst, Cost::Long) => self.open_to_long(now),
+        let one_line =
+            self.settings.order == Order::FirstCome && self.settings.long_share.is_none();
+        let (open, ahead) = match cost {
+            _ if one_line => (self.frees_at(now, slots, |_| true), self.all_work()),
+            Cost::Short => self.open_to_short(now, slots),
+            Cost::Long => self.open_to_long(now),
         };
         Duration::from_secs_f64(pour(open, ahead))
     }
 
-    /// Returns the smoothed service time of a class; zero while none was measured.
-    pub(super) fn mean(&self, cost: Cost) -> Duration {
-        let mean = self.means[cost as usize];
-        Duration::from_secs_f64(mean.unwrap_or(0.0))
+    /// Returns the expected service time of a ticket: its own, or else the mean of its class, or
+    /// else zero.
+    pub(super) fn expected(&self, ticket: &Ticket) -> Expected {
+        ticket.expected.unwrap_or_else(|| {
+            let mean = self.means[ticket.cost as usize].unwrap_or(0.0);
+            let mean = Duration::from_secs_f64(mean);
+            Expected { mean, most: mean }
+        })
     }
 
     /// Returns whether the class holds all of the places that it may.
--- a/crates/policy/src/queue/lanes.rs
+++ b/crates/policy/src/queue/lanes.rs
@@ -98,15 +98,20 @@
 
     /// Moves waiting entries to the lane of their shape's present class.
     pub(super) fn reclassify(&mut self, cost: impl Fn(ShapeId) -> Option<Cost>) {
-        let became_long = |entry: &Entry<T>| entry.shape.and_then(&cost) == Some(Cost::Long);
-        let (moved, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.short)
-            .into_iter()
-            .partition(became_long);
-        self.short = kept;
-        for mut entry in moved {
-            entry.cost = Cost::Long;
-            let at = self.long.partition_point(|other| other.id < entry.id);
-            self.long.insert(at, entry);
+        for to in [Cost::Long, Cost::Short] {
+            let (from, into) = match to {
+                Cost::Long => (&mut self.short, &mut self.long),
+                Cost::Short => (&mut self.long, &mut self.short),
+            };
+            let changed = |entry: &Entry<T>| entry.shape.and_then(&cost) == Some(to);
+            let (moved, kept): (VecDeque<_>, VecDeque<_>) =
+                std::mem::take(from).into_iter().partition(changed);
+            *from = kept;
+            for mut entry in moved {
+                entry.cost = to;
+                let at = into.partition_point(|other| other.id < entry.id);
+                into.insert(at, entry);
+            }
         }
     }
 
--- a/crates/policy/src/queue/types.rs
+++ b/crates/policy/src/queue/types.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 
 use crate::Verdict;
-use crate::classes::{Class, Cost, ShapeId};
+use crate::classes::{Class, Cost, Expected, ShapeId};
 
 /// Result of the queue.
 pub type Result<T, E> = std::result::Result<T, E>;
@@ -16,24 +16,32 @@
     /// Part of the slots and of the places that long work may hold, above 0 and at most 1. Each
     /// class keeps at least one of both. `None` sets no limit (baseline).
     pub long_share: Option<f64>,
+    /// Whether long work leaves short work the slots that it needs at present, within the share.
+    pub adapt_share: bool,
     /// Requests that may wait.
     pub length: usize,
-    /// Time after which waiting long work goes before short work. It is at most half of the time
-    /// that the request can wait.
-    pub ageing: Duration,
+    /// Time after which waiting long work goes before short work, at most half of the time that
+    /// the request can wait. `None` never lets it (baseline).
+    pub ageing: Option<Duration>,
     /// Order in which waiting requests start.
     pub order: Order,
-    /// Whether admission refuses requests that cannot meet their deadline.
+    /// Part of the time to its deadline that a request may spend waiting, above 0 and at most 1.
+    /// It keeps a queue under overload from standing at the longest wait that the deadlines allow.
+    pub max_wait: f64,
+    /// Whether requests that cannot meet their deadline are refused before it has passed. Without
+    /// it, they are refused once it has (baseline).
     pub refuse_late: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            long_share: Some(0.5),
+            long_share: Some(0.8),
+            adapt_share: true,
             length: 200,
-            ageing: Duration::from_millis(500),
+            ageing: Some(Duration::from_millis(500)),
             order: Order::ShortFirst,
+            max_wait: 0.5,
             refuse_late: true,
         }
     }
@@ -73,7 +81,7 @@
     /// Learned shape, by which the request can change class later.
     pub shape: Option<ShapeId>,
     /// Expected service time; `None` takes the mean of the class.
-    pub expected: Option<Duration>,
+    pub expected: Option<Expected>,
     /// Instant by which the answer is needed, as time since boot.
     pub deadline: Duration,
 }
