--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -35,7 +35,7 @@
 pub enum Problem {
     /// malformed line: expected `[section]`, `key = value`, or a comment that starts with `;` or `#`
     MalformedLine,
-    /// text of {0} bytes exceeds the limit of 262144 bytes
+    /// text of {0} bytes exceeds the limit of 131072 bytes
     TooLong(usize),
     /// key before the first section
     OutsideSection,
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -7,9 +7,10 @@
 
 use crate::fault::{Faults, Problem};
 
-/// Largest settings or configuration text, in bytes. The platform's service stores values up to
-/// 1 MB, and a peer sends the configuration and the table in one message of at most 1 MB.
-pub const MAX_TEXT_BYTES: usize = 256 << 10;
+/// Largest settings or configuration text, in bytes. A peer sends the configuration and the table
+/// in one message of at most 1 MiB, of which the largest table (65,536 shards, 480 sessions) takes
+/// up to 870 KB.
+pub const MAX_TEXT_BYTES: usize = 128 << 10;
 
 /// One section.
 #[derive(Debug)]
--- a/crates/daemon/src/operators/journal.rs
+++ b/crates/daemon/src/operators/journal.rs
@@ -10,7 +10,7 @@
 use masticdeal_wire::peer::Versions;
 use serde::Serialize;
 
-/// Memory of the journal of a daemon, in bytes, as [`Entry::cost`] counts it.
+/// Memory of the journal of a daemon, in bytes, without the names that entries share.
 pub const DEFAULT_BUDGET: usize = 1 << 20;
 
 /// One decision.
