--- a/crates/config/src/deployment_read.rs
+++ b/crates/config/src/deployment_read.rs
@@ -108,7 +108,7 @@
 fn section_hint(name: &str) -> String {
     let word = name.split(' ').next().unwrap_or_default();
     match nearest(word, ["service", "rules"]) {
-        Some(near) => format!("did you mean `{near}`? {SECTION_FORMS}"),
+        Some(near) => format!("nearest is `{near}`, {SECTION_FORMS}"),
         None => SECTION_FORMS.into(),
     }
 }
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -188,7 +188,7 @@
         all.push_str(&format!(" and {} more", valid.len() - MAX_HINTS));
     }
     match nearest(word, valid.iter().copied()) {
-        Some(near) => format!("did you mean `{near}`? Valid: {all}"),
+        Some(near) => format!("nearest is `{near}`, valid are {all}"),
         None => format!("one of {all}"),
     }
 }
--- a/crates/daemon/src/operators/command.rs
+++ b/crates/daemon/src/operators/command.rs
@@ -81,12 +81,12 @@
     },
     /// Not carried out, and nothing changed.
     Refused {
-        /// Why, as the end of a sentence after "since".
+        /// Why, as a clause without a full stop.
         reason: String,
     },
     /// The answer of the platform's service was lost, and reading back did not decide it.
     Unknown {
-        /// Why, as the end of a sentence after "since".
+        /// Why, as a clause without a full stop.
         reason: String,
     },
 }
@@ -161,7 +161,7 @@
     );
     if away >= most {
         return refuse(format!(
-            "{away} of the targets of {} are away already and rules.max_draining is {most}",
+            "{} has {away} of its targets away already, and rules.max_draining is {most}",
             service.name
         ));
     }
@@ -277,9 +277,11 @@
     let session = facts.vm(vm)?;
     let heard = facts.peers.iter().find(|peer| peer.session == session.id);
     match heard.map(|peer| peer.heard.as_millis()) {
-        Some(age) if age < RECENTLY_HEARD_MS => {
-            refuse(format!("{vm} answered {age} ms ago, so it is not lost"))
-        }
+        Some(age) if age < RECENTLY_HEARD_MS => refuse(format!(
+            "{vm} was heard {}.{} s ago, so it is not lost",
+            age / 1_000,
+            age / 100 % 10
+        )),
         _ => Ok(Action::ConfirmLost {
             session: session.id,
             term: session.term,
--- a/crates/daemon/src/operators/text.rs
+++ b/crates/daemon/src/operators/text.rs
@@ -29,7 +29,7 @@
             } => {
                 write!(
                     f,
-                    "Nobody owns {thing} (shard {shard}) in table version {table_version}."
+                    "Nobody owns {thing} in table version {table_version} (shard {shard})."
                 )?;
                 last_decision(f, decision.as_ref())
             }
@@ -137,16 +137,22 @@
                 Some(near) => write!(f, "There is no {what} {name}. Did you mean {near}?"),
                 None => write!(f, "There is no {what} {name}."),
             },
-            Self::Malformed { column: 0, message } => write!(f, "Not understood: {message}."),
             Self::Malformed { column, message } => {
-                write!(f, "Not understood at column {column}: {message}.")
+                match column {
+                    0 => f.write_str("Not understood: ")?,
+                    column => write!(f, "At column {column}, ")?,
+                }
+                let end = if message.ends_with('?') { "" } else { "." };
+                write!(f, "{message}{end}")
+            }
+            Self::Refused { command, reason } => {
+                write!(f, "Refused: {command}. The reason: {reason}.")
             }
-            Self::Refused { command, reason } => write!(f, "Refused: {command}, since {reason}."),
             Self::Done { command, next, .. } => write!(f, "Done: {command}. {next}."),
             Self::Unknown { command, reason } => write!(
                 f,
-                "It is not known whether this was done: {command}, since {reason}. Ask again \
-                 before you repeat it."
+                "It is not known whether this was done: {command}. The reason: {reason}; look before \
+                 you repeat it."
             ),
         }
     }
@@ -165,6 +171,9 @@
         if self.hot_key {
             return format!("{thing} (a hot key with its own owner, epoch {epoch})");
         }
+        if thing.ends_with(&format!(" shard {shard}")) {
+            return format!("{thing} (of {shards}, epoch {epoch})");
+        }
         format!("{thing} (shard {shard} of {shards}, epoch {epoch})")
     }
 }
@@ -196,7 +205,7 @@
     let from = Utc(from_ms);
     write!(
         f,
-        "The journal of {daemon} no longer holds the decision; it reaches back to {from}."
+        "The journal of {daemon} does not hold the decision; it reaches back to {from}."
     )
 }
 
@@ -233,9 +242,13 @@
         ready,
         ..
     } = line;
+    let ready = match targets {
+        0 => "no targets".into(),
+        n => format!("{ready} of {n} targets ready"),
+    };
     match shards {
-        0 => format!("{service} ({ready} of {targets} targets ready)"),
-        n => format!("{service} ({n} shards, {ready} of {targets} targets ready)"),
+        0 => format!("{service} ({ready})"),
+        n => format!("{service} ({n} shards, {ready})"),
     }
 }
 
--- a/crates/language/src/error.rs
+++ b/crates/language/src/error.rs
@@ -59,13 +59,18 @@
             "" => f.write_str("the sentence ends here")?,
             found => write!(f, "`{found}` is not understood")?,
         }
-        if let Some(near) = self.nearest {
-            write!(f, "; did you mean `{near}`?")?;
-        }
-        match self.expected.as_slice() {
-            [] => Ok(()),
-            [one] => write!(f, "; expected {one}"),
-            many => write!(f, "; expected one of {}", many.join(", ")),
+        match (self.nearest, self.expected.as_slice()) {
+            (None, []) => Ok(()),
+            (None, [one]) => write!(f, "; expected {one}"),
+            (None, many) => write!(f, "; expected one of {}", many.join(", ")),
+            (Some(near), [_]) => write!(f, "; did you mean `{near}`?"),
+            (Some(near), many) => {
+                write!(
+                    f,
+                    "; did you mean `{near}`? Valid here: {}",
+                    many.join(", ")
+                )
+            }
         }
     }
 }
