--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -8,26 +8,20 @@
 use serde::Serialize;
 
 use crate::args::{Apply, Cli};
-use crate::change::{Committed, Conflict, Current, Plan, Request, commit, prepare};
+use crate::change::{Committed, Conflict, Current, Plan, Request, commit, lines, prepare};
 use crate::client::Client;
 use crate::error::{Error, Exit, Result};
 use crate::{files, in_force, preview};
 
-/// Completes what the other change did from the configuration that stood before.
-async fn explain(client: &Client, plan: &Plan, conflict: &mut Conflict) {
-    if !conflict.differences.is_empty() || plan.if_revision != plan.current.revision {
-        return;
-    }
-    let Ok(now) = Current::read(client).await else {
-        return;
-    };
-    let texts = (
-        Deployment::parse(&plan.current.text),
-        Deployment::parse(&now.text),
-    );
-    if let (Ok(before), Ok(after)) = texts {
-        conflict.differences = diff(&before, &after);
+/// Returns what the other change did, from the configuration that stood before it. `None` when
+/// that is not known.
+async fn explain(client: &Client, plan: &Plan) -> Option<Vec<String>> {
+    if plan.if_revision != plan.current.revision {
+        return None;
     }
+    let now = Current::read(client).await.ok()?;
+    let now = Deployment::parse(&now.text).ok()?;
+    Some(lines(&diff(&plan.old, &now)))
 }
 
 /// Result of the subcommand in JSON.
@@ -48,6 +42,7 @@
     },
     Conflict {
         conflict: &'a Conflict,
+        changed: Option<&'a [String]>,
         kept: String,
     },
     Faults {
@@ -94,7 +89,7 @@
         print_preview(cli, &plan);
     }
     if let (Some(conflict), None) = (plan.overtaken(), apply.change_id) {
-        return report_conflict(cli, apply, &conflict, &text);
+        return report_conflict(cli, apply, &conflict, None, &text);
     }
     if apply.preview {
         return Ok(Exit::Ok);
@@ -106,9 +101,9 @@
     }
     match commit(client, &plan).await? {
         Committed::Accepted(revision) => accepted(cli, client, apply, revision).await,
-        Committed::Conflict(mut conflict) => {
-            explain(client, &plan, &mut conflict).await;
-            report_conflict(cli, apply, &conflict, &text)
+        Committed::Conflict(conflict) => {
+            let changed = explain(client, &plan).await;
+            report_conflict(cli, apply, &conflict, changed.as_deref(), &text)
         }
         Committed::Faults(faults) => Ok(report_faults(cli, &faults)),
     }
@@ -171,7 +166,13 @@
     Ok(matches!(line.trim(), "y" | "Y" | "yes"))
 }
 
-fn report_conflict(cli: &Cli, apply: &Apply, conflict: &Conflict, text: &str) -> Result<Exit> {
+fn report_conflict(
+    cli: &Cli,
+    apply: &Apply,
+    conflict: &Conflict,
+    changed: Option<&[String]>,
+    text: &str,
+) -> Result<Exit> {
     let Conflict {
         revision,
         author,
@@ -181,19 +182,25 @@
     } = conflict;
     let kept = files::keep_refused(&apply.file, *revision, text)?;
     let kept = kept.display().to_string();
-    let lines = [
-        format!(
-            "conflict, nothing changed: revision {revision} by {author}, {}",
-            Utc(*time_ms)
+    if cli.json {
+        Report::Conflict {
+            conflict,
+            changed,
+            kept,
+        }
+        .print(true, &[]);
+        return Ok(Exit::Conflict);
+    }
+    let time = Utc(*time_ms);
+    eprintln!("conflict, nothing changed: revision {revision} by {author}, {time}");
+    match changed {
+        Some(changed) => eprintln!("that change: {}", preview::summary(changed)),
+        None => eprintln!(
+            "your text to what stands: {}",
+            preview::summary(differences)
         ),
-        format!("that change: {}", preview::summary(differences)),
-        format!("your text is kept in {kept}; take it up from `masticdeal config`"),
-    ];
-    if !cli.json {
-        lines.iter().for_each(|line| eprintln!("{line}"));
-    } else {
-        Report::Conflict { conflict, kept }.print(true, &[]);
     }
+    eprintln!("your text is kept in {kept}; take it up from `masticdeal config`");
     Ok(Exit::Conflict)
 }
 
--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -76,7 +76,6 @@
     }
     if sentence.is_command() {
         call = call.header("x-author", cli.author()?);
-        call = call.header("x-change-id", rand::random::<u64>());
     }
     Ok(call)
 }
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -6,7 +6,7 @@
 
 use http::Method;
 use masticdeal_config::deployment::Deployment;
-use masticdeal_config::diff::{Difference, check_change};
+use masticdeal_config::diff::{Difference, check_change, diff};
 use masticdeal_language::Utc;
 use serde::{Deserialize, Serialize};
 
@@ -104,12 +104,15 @@
     pub differences: Vec<Difference>,
     /// The configuration that stood when the change was checked.
     pub current: Current,
+    /// What it means.
+    pub old: Deployment,
 }
 
 /// Another change that came first.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Conflict {
-    /// Revision of the configuration now.
+    /// Revision of the configuration now; a header of the answer carries it.
+    #[serde(default)]
     pub revision: u64,
     /// Author of the other change.
     pub author: String,
@@ -117,9 +120,9 @@
     pub time_ms: u64,
     /// Id of the other change.
     pub change_id: u64,
-    /// What it changed; empty when that is not known.
+    /// What stands now against the refused text, one line each.
     #[serde(default)]
-    pub differences: Vec<Difference>,
+    pub differences: Vec<String>,
 }
 
 /// How a change ended.
@@ -170,6 +173,7 @@
         new,
         differences,
         current,
+        old,
     })
 }
 
@@ -181,7 +185,7 @@
             author: self.current.author.clone(),
             time_ms: self.current.time_ms,
             change_id: self.current.change_id,
-            differences: Vec::new(),
+            differences: lines(&diff(&self.new, &self.old)),
         })
     }
 
@@ -227,11 +231,16 @@
 fn outcome(answer: &Answer, plan: &Plan) -> Result<Committed> {
     match answer.status.as_u16() {
         200 => answer.number("x-revision").map(Committed::Accepted),
-        400 => answer.json().map(|faults: Vec<FaultLine>| {
-            Committed::Faults(faults.iter().map(FaultLine::to_string).collect())
-        }),
+        400 => match answer.json::<Vec<FaultLine>>() {
+            Ok(faults) => {
+                let lines = faults.iter().map(FaultLine::to_string);
+                Ok(Committed::Faults(lines.collect()))
+            }
+            Err(_) => Err(answer.unexpected()),
+        },
         409 => {
-            let conflict: Conflict = answer.json()?;
+            let mut conflict: Conflict = answer.json()?;
+            conflict.revision = answer.number("x-revision")?;
             if conflict.change_id == plan.change_id {
                 return Ok(Committed::Accepted(conflict.revision));
             }
@@ -261,3 +270,8 @@
         write!(f, "line {line}: [{section}] {key}: {message}")
     }
 }
+
+/// Returns one line per difference.
+pub fn lines(differences: &[Difference]) -> Vec<String> {
+    differences.iter().map(ToString::to_string).collect()
+}
--- a/crates/cli/src/preview.rs
+++ b/crates/cli/src/preview.rs
@@ -1,4 +1,4 @@
-//! What a change would do, and what another change did, in plain lines.
+//! What a change would do, in plain lines.
 
 use masticdeal_config::deployment::Deployment;
 use masticdeal_config::diff::Difference;
@@ -25,17 +25,13 @@
     }
 }
 
-/// Returns a sentence on what another change did.
-pub fn summary(differences: &[Difference]) -> String {
+/// Joins the first of several differences, and counts the rest.
+pub fn summary(differences: &[String]) -> String {
     const SHOWN: usize = 5;
-    let shown: Vec<String> = differences
-        .iter()
-        .take(SHOWN)
-        .map(ToString::to_string)
-        .collect();
+    let shown = differences[..differences.len().min(SHOWN)].join("; ");
     match differences.len() {
-        0 => "it is not known what it changed".into(),
-        all if all > SHOWN => format!("{} and {} more", shown.join("; "), all - SHOWN),
-        _ => shown.join("; "),
+        0 => "no difference in meaning".into(),
+        all if all > SHOWN => format!("{shown} and {} more", all - SHOWN),
+        _ => shown,
     }
 }
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -238,6 +238,9 @@
         conflict.err,
         contains_substring("mine.ini.not-in-revision-2")
     );
+    let standing =
+        "your text to what stands: search.deadline_ms: 900 -> 2000; rules.max_draining: 1 -> 2";
+    expect_that!(conflict.err, contains_substring(standing));
     let kept = std::fs::read_to_string(directory.join("mine.ini.not-in-revision-2")).unwrap();
     expect_that!(kept, eq(&mine));
     expect_that!(store.lock().unwrap().history, len(eq(2)));
--- a/crates/daemon/src/operators/command.rs
+++ b/crates/daemon/src/operators/command.rs
@@ -323,6 +323,9 @@
             Action::Drain { .. } => {
                 "Its shards move first, running work finishes, and new work stops within 2 s".into()
             }
+            Action::Return { .. } if table == 0 => {
+                format!("It takes new work once configuration revision {config} is in force")
+            }
             Action::Return { .. } => format!("It takes new work from table version {table} on"),
             Action::Move { .. } => format!("The new owner serves it from table version {table} on"),
             Action::Configure { .. } => {
