--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -85,12 +85,12 @@
         Report::Unchanged { revision }.print(cli.json, &[line]);
         return Ok(Exit::Ok);
     }
-    if !cli.json || apply.preview {
-        print_preview(cli, &plan);
-    }
     if let (Some(conflict), None) = (plan.overtaken(), apply.change_id) {
         return report_conflict(cli, apply, &conflict, None, &text);
     }
+    if !cli.json || apply.preview {
+        print_preview(cli, &plan);
+    }
     if apply.preview {
         return Ok(Exit::Ok);
     }
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -67,6 +67,9 @@
             ..
         } = self;
         let time = Utc(*time_ms);
+        if *revision == 0 {
+            return format!("{REVISION_LINE}0, there is no configuration yet\n");
+        }
         format!(
             "{REVISION_LINE}{revision} by {author}, {time}\n{}",
             strip_revision_line(text)
@@ -77,7 +80,7 @@
 /// Returns the revision that the first line of a file names.
 pub fn named_revision(text: &str) -> Option<u64> {
     let rest = text.strip_prefix(REVISION_LINE)?;
-    rest.split_whitespace().next()?.parse().ok()
+    rest.split([' ', ',']).next()?.parse().ok()
 }
 
 fn strip_revision_line(text: &str) -> &str {
--- a/crates/cli/tests/conflicts.rs
+++ b/crates/cli/tests/conflicts.rs
@@ -8,7 +8,7 @@
 
 use fake::{Fault, KOCAELI, Shared};
 use googletest::prelude::*;
-use masticdeal::change::{Committed, Plan, Request, commit, prepare};
+use masticdeal::change::{Committed, Current, Plan, Request, commit, named_revision, prepare};
 use masticdeal::client::{Client, Connection};
 use masticdeal_config::edit;
 use rand::rngs::StdRng;
@@ -165,3 +165,18 @@
     expect_that!(error.to_string(), contains_substring(repeat));
     expect_that!(error.exit(), eq(masticdeal::Exit::Unreachable));
 }
+
+/// Guards against a printed configuration whose first line is not understood again.
+#[gtest]
+#[tokio::test]
+async fn printed_configuration_names_its_revision() {
+    let store = fake::store();
+    let client = client(fake::serve(store.clone()).await);
+    let mut current = Current::read(&client).await.unwrap();
+    for revision in [1, 0, u64::MAX] {
+        current.revision = revision;
+        let printed = current.with_revision_line();
+        expect_that!(named_revision(&printed), some(eq(revision)), "{printed}");
+    }
+    expect_that!(named_revision("; masticdeal revision x"), none());
+}
--- a/crates/daemon/src/operators/answer.rs
+++ b/crates/daemon/src/operators/answer.rs
@@ -8,7 +8,7 @@
 use super::data::{Data, Decision, LoadLine, Owned, Owner, ServiceLine, TargetLine};
 use super::facts::{Facts, NoSuch, Place};
 use super::from_delta::word;
-use super::journal::{TargetWord, What};
+use super::journal::TargetWord;
 use super::subject::Subject;
 
 /// Most decisions in one answer to `show changes`.
@@ -263,14 +263,10 @@
 }
 
 fn why_away(vm: &str, facts: &Facts<'_>) -> Result<Data, NoSuch> {
-    let concerns = |what: &What| match what {
-        What::TargetChanged { vm: known, .. } | What::Ended { vm: known, .. } => **known == *vm,
-        _ => false,
-    };
-    let decision = facts
+    let newest = facts
         .journal
-        .newest(|entry| concerns(&entry.what))
-        .map(Decision::from);
+        .newest(|entry| entry.concerns_availability(vm));
+    let decision = newest.map(Decision::from);
     let state = match facts.vm(vm) {
         Ok(session) => Some(word(session.target.as_ref())),
         // A VM that was ended is no longer in the table, but the journal knows it.
--- a/crates/daemon/src/operators/journal.rs
+++ b/crates/daemon/src/operators/journal.rs
@@ -103,12 +103,12 @@
         /// Name of the service.
         service: Arc<str>,
     },
-    /// configuration revision {revision} was accepted
+    /// configuration revision {revision} was accepted ({differences})
     Configured {
         /// The revision.
         revision: u64,
-        /// What changed, when the revision before is known.
-        differences: Vec<Difference>,
+        /// What changed against the revision that this daemon held before.
+        differences: Differences,
     },
     /// the command `{command}` was refused
     Refused {
@@ -117,6 +117,22 @@
     },
 }
 
+/// Differences of two configurations; the text names the first few.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Differences(pub Vec<Difference>);
+
+impl std::fmt::Display for Differences {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        const SHOWN: usize = 3;
+        let shown: Vec<String> = self.0.iter().take(SHOWN).map(ToString::to_string).collect();
+        match self.0.len() {
+            0 => f.write_str("no difference in meaning"),
+            all if all > SHOWN => write!(f, "{} and {} more", shown.join(", "), all - SHOWN),
+            _ => f.write_str(&shown.join(", ")),
+        }
+    }
+}
+
 /// State of a target in words.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -159,13 +175,18 @@
         /// The operator as the tool named it.
         author: String,
     },
-    /// the target announced it
+    /// its target or an operator asked for it
     Announced,
     /// the daemon asked for it
     Requested,
     /// {0}
     Refusal(String),
-    /// another daemon decided so, and its journal has the cause
+    /// it was moved from {vm}
+    MovedFrom {
+        /// VM of the former owner.
+        vm: Arc<str>,
+    },
+    /// another daemon decided so
     Elsewhere,
 }
 
@@ -180,6 +201,8 @@
     Replaced,
     /// an operator confirmed that it is lost
     ConfirmedLost,
+    /// this daemon learned of it afterwards
+    Unseen,
 }
 
 impl From<EndCause> for EndWord {
@@ -244,7 +267,7 @@
             What::Assigned { shards, .. } => size_of_val(shards.0.as_slice()),
             // Three short texts per difference.
             What::Configured { differences, .. } => {
-                differences.len() * (size_of::<Difference>() + 96)
+                differences.0.len() * (size_of::<Difference>() + 96)
             }
             What::Refused { command } => command.len(),
             _ => 0,
@@ -265,6 +288,18 @@
         }
     }
 
+    /// Returns whether the entry took the target of this VM away or brought it back.
+    pub fn concerns_availability(&self, wanted: &str) -> bool {
+        match &self.what {
+            What::TargetChanged { vm, .. } | What::Ended { vm, .. } => **vm == *wanted,
+            What::Configured { differences, .. } => differences
+                .0
+                .iter()
+                .any(|difference| lists_away(difference, wanted)),
+            _ => false,
+        }
+    }
+
     /// Returns whether the entry gave this key an owner of its own, or took it back.
     pub fn gave_key(&self, service: &str, hash: u64) -> bool {
         match &self.what {
@@ -282,6 +317,15 @@
     }
 }
 
+/// Returns whether a difference puts a VM on the list of those that an operator took away.
+fn lists_away(difference: &Difference, wanted: &str) -> bool {
+    let lists = |value: &str| value.split(',').any(|name| name.trim() == wanted);
+    match difference {
+        Difference::Rule { key, old, new } => key == "away" && !lists(old) && lists(new),
+        _ => false,
+    }
+}
+
 impl std::fmt::Display for Entry {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{} because {}", self.what, self.cause)
--- /dev/null
+++ b/crates/daemon/src/operators/learned.rs
@@ -0,0 +1,225 @@
+//! Journal entries of what was learned as a whole: a table without the deltas that led to it, or a
+//! configuration.
+//!
+//! A daemon that missed deltas reads a whole table. Its journal then still names every owner that
+//! changed, with the cause as far as the two tables show it.
+
+use std::sync::Arc;
+
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::diff::diff;
+use masticdeal_ownership::ids::{SessionId, ShardId};
+use masticdeal_ownership::table::{Service, Session, Table, TargetState};
+use masticdeal_wire::peer::{ConfigValue, Versions};
+
+use super::from_delta::word;
+use super::journal::{Cause, Differences, EndWord, Entry, ShardSet, What};
+
+/// Most differences of a configuration that an entry keeps.
+const MAX_DIFFERENCES: usize = 32;
+
+type Decided = Vec<(What, Cause)>;
+
+/// Returns what changed from `before` to `after`; nothing when `after` is not newer.
+///
+/// `config` is the configuration revision that this daemon holds, and `time_ms` the Unix time in
+/// milliseconds.
+pub fn table(before: &Table, after: &Table, config: u64, time_ms: u64) -> Vec<Entry> {
+    if after.version <= before.version {
+        return Vec::new();
+    }
+    let tables = Tables { before, after };
+    let mut decided = Decided::new();
+    tables.sessions(&mut decided);
+    tables.services(&mut decided);
+    let versions = Versions {
+        table: after.version,
+        config,
+    };
+    let entry = |(what, cause)| Entry {
+        time_ms,
+        versions,
+        what,
+        cause,
+    };
+    decided.into_iter().map(entry).collect()
+}
+
+/// Returns the entry of a configuration that came into force.
+///
+/// `before` is the configuration that was in force, `after` what `value` means, `table` the version
+/// of the table, and `time_ms` the Unix time in milliseconds at which this daemon learned of it.
+pub fn config(
+    before: &Deployment,
+    after: &Deployment,
+    value: &ConfigValue,
+    table: u64,
+    time_ms: u64,
+) -> Entry {
+    let mut differences = diff(before, after);
+    differences.truncate(MAX_DIFFERENCES);
+    let (revision, author) = (value.revision, value.author.clone());
+    Entry {
+        time_ms,
+        versions: Versions {
+            table,
+            config: revision,
+        },
+        what: What::Configured {
+            revision,
+            differences: Differences(differences),
+        },
+        cause: Cause::Operator { author },
+    }
+}
+
+struct Tables<'a> {
+    before: &'a Table,
+    after: &'a Table,
+}
+
+impl Tables<'_> {
+    fn vm(&self, session: SessionId) -> Arc<str> {
+        let known = self
+            .after
+            .session(session)
+            .or_else(|| self.before.session(session));
+        match known {
+            Some(session) => session.vm.as_str().into(),
+            None => format!("session {session}").into(),
+        }
+    }
+
+    fn sessions(&self, decided: &mut Decided) {
+        let ended = self
+            .before
+            .sessions
+            .iter()
+            .filter(|s| self.after.session(s.id).is_none());
+        for session in ended {
+            let (vm, session) = (session.vm.as_str().into(), session.id);
+            decided.push((What::Ended { vm, session }, Cause::Session(EndWord::Unseen)));
+        }
+        for session in &self.after.sessions {
+            match self.before.session(session.id) {
+                None => joined(session, decided),
+                Some(known) => changed(known, session, decided),
+            }
+        }
+    }
+
+    fn services(&self, decided: &mut Decided) {
+        for service in &self.after.services {
+            let known = self.before.services.iter().find(|s| s.name == service.name);
+            if known.is_none() {
+                let service = service.name.as_str().into();
+                decided.push((What::Declared { service }, Cause::Elsewhere));
+            }
+            self.shards(known, service, decided);
+            self.overrides(known, service, decided);
+        }
+    }
+
+    /// One entry per former and new owner, so that the number of entries follows the sessions and
+    /// not the shards.
+    fn shards(&self, known: Option<&Service>, service: &Service, decided: &mut Decided) {
+        type Group = (Option<SessionId>, SessionId, Vec<ShardId>);
+        let mut groups: Vec<Group> = Vec::new();
+        for (at, shard) in service.shards.iter().enumerate() {
+            let former = known.and_then(|k| k.shards.get(at)).and_then(|s| s.owner);
+            let Some(owner) = shard.owner.filter(|owner| Some(*owner) != former) else {
+                continue;
+            };
+            let shard = ShardId(at as u32);
+            match groups
+                .iter_mut()
+                .find(|(f, o, _)| (*f, *o) == (former, owner))
+            {
+                Some((.., shards)) => shards.push(shard),
+                None => groups.push((former, owner, vec![shard])),
+            }
+        }
+        for (former, session, shards) in groups {
+            let what = What::Assigned {
+                service: service.name.as_str().into(),
+                shards: shards.into_iter().collect::<ShardSet>(),
+                vm: self.vm(session),
+                session,
+            };
+            decided.push((what, self.cause(former)));
+        }
+    }
+
+    fn cause(&self, former: Option<SessionId>) -> Cause {
+        let Some(former) = former else {
+            return Cause::FirstOwner;
+        };
+        let vm = self.vm(former);
+        match self.after.session(former) {
+            None => Cause::OwnerEnded {
+                vm,
+                end: EndWord::Unseen,
+            },
+            Some(session) if leaves(session) => Cause::TargetLeaves { vm },
+            Some(_) => Cause::MovedFrom { vm },
+        }
+    }
+
+    fn overrides(&self, known: Option<&Service>, service: &Service, decided: &mut Decided) {
+        let old = known.map_or(&[][..], |known| &known.overrides);
+        let name: Arc<str> = service.name.as_str().into();
+        for now in &service.overrides {
+            let owner = now.shard.owner.filter(|_| !old.contains(now));
+            let Some(session) = owner else { continue };
+            let what = What::KeyGiven {
+                service: name.clone(),
+                key_hash: now.key_hash,
+                vm: self.vm(session),
+                session,
+            };
+            decided.push((what, Cause::Elsewhere));
+        }
+        let stays = |key_hash| service.overrides.iter().any(|now| now.key_hash == key_hash);
+        for key in old.iter().filter(|key| !stays(key.key_hash)) {
+            let (service, key_hash) = (name.clone(), key.key_hash);
+            decided.push((What::KeyReturned { service, key_hash }, Cause::Elsewhere));
+        }
+    }
+}
+
+fn leaves(session: &Session) -> bool {
+    session
+        .target
+        .as_ref()
+        .is_some_and(|t| t.state != TargetState::Ready)
+}
+
+fn joined(session: &Session, decided: &mut Decided) {
+    let vm: Arc<str> = session.vm.as_str().into();
+    let what = What::Joined {
+        vm: vm.clone(),
+        session: session.id,
+    };
+    decided.push((what, Cause::Requested));
+    if session.target.is_some() {
+        let state = word(session.target.as_ref());
+        decided.push((What::TargetChanged { vm, state }, Cause::Announced));
+    }
+}
+
+fn changed(known: &Session, session: &Session, decided: &mut Decided) {
+    let vm: Arc<str> = session.vm.as_str().into();
+    let state = word(session.target.as_ref());
+    if word(known.target.as_ref()) != state {
+        decided.push((
+            What::TargetChanged {
+                vm: vm.clone(),
+                state,
+            },
+            Cause::Announced,
+        ));
+    }
+    if known.lessors != session.lessors {
+        decided.push((What::LessorsChanged { vm }, Cause::Elsewhere));
+    }
+}
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -3,6 +3,7 @@
 //! - [`facts`]: borrowed view of the daemon's state.
 //! - [`journal`]: decisions with their causes, in bounded memory.
 //! - [`from_delta`]: journal entries of an accepted swap.
+//! - [`learned`]: journal entries of a whole table or configuration.
 //! - [`answer`]: from a sentence to an answer or a command.
 //! - [`command`]: checked commands, which the control plane runs.
 //! - [`data`]: answers as values, with their text of at most two sentences.
@@ -17,5 +18,6 @@
 pub mod facts;
 pub mod from_delta;
 pub mod journal;
+pub mod learned;
 pub mod subject;
 mod text;
--- a/crates/daemon/src/operators/text.rs
+++ b/crates/daemon/src/operators/text.rs
@@ -95,6 +95,9 @@
                 }
             }
             Self::Services { services } => {
+                if services.is_empty() {
+                    return f.write_str("There are no services; apply a configuration first.");
+                }
                 let lines: Vec<String> = services.iter().map(service).collect();
                 write!(f, "{}: {}.", count(services.len(), "service"), list(&lines))
             }
