Plan moves from measured load, and serve single keys under their own grant

Cause: the planner was elected but planned nothing; a key with an owner of its own was sent to the target under its shard, which a checking target refuses, and a hot key held up moves of its shard. Change: rounds of census, plan and releases; a sketch of hot keys at each owner; requests are counted by key as well as by shard.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -9,7 +9,7 @@
 //! - [`target`]: tells the core about the target beside the daemon.
 //! - [`census`]: what every other daemon last reported.
 //! - [`port`], [`commands`]: the operators' port and what it carries out.
-//! - [`election`]: who plans moves.
+//! - [`election`], [`planner`]: who plans moves, and the rounds of planning.
 //!
 //! Invariants: the published table and configuration never fall back to an older version, and no
 //! shard is granted or served beyond the end of the lease. The checker of the ownership crate runs
@@ -23,6 +23,7 @@
 pub mod grants;
 pub mod messages;
 pub mod news;
+pub mod planner;
 pub mod port;
 pub mod table_store;
 pub mod target;
--- /dev/null
+++ b/crates/daemon/src/control/planner.rs
@@ -0,0 +1,140 @@
+//! Plans moves while this daemon is the planner: takes the census, plans a round, and asks the
+//! owners to release.
+//!
+//! The owner swaps each move itself, so a planner that is paused and returns has nothing in its
+//! hands that could apply late.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticdeal_ownership::ids::{Epoch, SessionId, shard_of};
+use masticdeal_ownership::planner::{self, Load, Loads, Move, PlanSettings, ServiceLoad};
+use masticdeal_ownership::table::{Service, Table};
+use masticdeal_wire::headers::PATH_RELEASE;
+use masticdeal_wire::peer::{LoadReport, Release, ReleaseReply};
+
+use super::Control;
+use super::census::Heard;
+
+/// Least time between two rounds.
+const ROUND: Duration = Duration::from_secs(10);
+
+/// Daemons that the planner asks per second at the most; more daemons make the rounds longer, so
+/// that the planner's traffic does not grow with the fleet.
+const ASKED_PER_SECOND: u32 = 24;
+
+/// Longest wait for an owner to begin a release.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Control {
+    /// Plans rounds while this daemon is the planner, until the task is dropped.
+    pub async fn plan_rounds(self: Arc<Self>) {
+        let mut planning = self.planning.subscribe();
+        while planning.wait_for(|is| *is).await.is_ok() {
+            tokio::time::sleep(self.round_length()).await;
+            if *self.planning.borrow() {
+                self.plan_round().await;
+            }
+        }
+    }
+
+    fn round_length(&self) -> Duration {
+        let sessions = self.node.table.borrow().sessions.len() as u32;
+        ROUND.max(Duration::from_secs(1) * sessions / ASKED_PER_SECOND)
+    }
+
+    async fn plan_round(self: &Arc<Self>) {
+        let census = self.census().await;
+        let table = self.node.table.borrow().clone();
+        let loads = loads(&table, &census);
+        let rules = self.node.deployment.borrow().1.rules.clone();
+        let settings = PlanSettings {
+            moves_per_round: rules.moves_per_round,
+            tolerance: rules.imbalance_tolerance,
+            ..PlanSettings::default()
+        };
+        for planned in planner::plan(&table, &loads, &settings) {
+            self.ask_release(&table, &planned).await;
+        }
+    }
+
+    async fn ask_release(self: &Arc<Self>, table: &Table, planned: &Move) {
+        let Some(release) = release(table, planned) else {
+            return;
+        };
+        let reply = if Some(planned.from) == self.session() {
+            Some(self.on_release(release))
+        } else {
+            self.call(planned.from, PATH_RELEASE, &release, RELEASE_TIMEOUT)
+                .await
+        };
+        match reply {
+            Some(ReleaseReply::Started) => log::info!(
+                "session {} releases shard {} of service {} for session {}",
+                planned.from,
+                release.shard,
+                release.service,
+                planned.to
+            ),
+            Some(ReleaseReply::NotOwner) | None => {
+                log::info!("a planned move was not begun by session {}", planned.from);
+            }
+        }
+    }
+}
+
+/// Returns the message by which a planned move begins.
+fn release(table: &Table, planned: &Move) -> Option<Release> {
+    let service = table.service(planned.service)?;
+    let release = |shard, key_hash, epoch| Release {
+        service: planned.service,
+        shard,
+        key_hash,
+        epoch,
+        to: planned.to,
+    };
+    match planned.load {
+        Load::Shard(held) => Some(release(held.shard, None, held.epoch)),
+        Load::Key(hash) => {
+            let shard = shard_of(hash, u32::try_from(service.shards.len()).ok()?);
+            Some(release(shard, Some(hash), key_epoch(service, hash)))
+        }
+    }
+}
+
+/// Returns the epoch under which a key is held: that of its override, or of its shard.
+fn key_epoch(service: &Service, hash: u64) -> Epoch {
+    let own = service.overrides.iter().find(|o| o.key_hash == hash);
+    own.map_or(service.shard_of(hash).epoch, |o| o.shard.epoch)
+}
+
+/// Puts the reports of all daemons together.
+fn loads(table: &Table, census: &HashMap<SessionId, Heard>) -> Loads {
+    let empty = |service: &Service| ServiceLoad {
+        shards: vec![0.0; service.shards.len()],
+        hot: Vec::new(),
+    };
+    let mut services: Vec<ServiceLoad> = table.services.iter().map(empty).collect();
+    for (session, heard) in census {
+        let target = table.session(*session).and_then(|s| s.target.as_ref());
+        let Some(load) = target.and_then(|t| services.get_mut(t.service.index())) else {
+            continue;
+        };
+        add(load, &heard.report);
+    }
+    Loads { services }
+}
+
+fn add(load: &mut ServiceLoad, report: &LoadReport) {
+    for (shard, rate) in &report.shards {
+        if let Some(sum) = load.shards.get_mut(shard.index()) {
+            *sum += f64::from(*rate);
+        }
+    }
+    let keys = report
+        .keys
+        .iter()
+        .map(|(hash, rate)| (*hash, f64::from(*rate)));
+    load.hot.extend(keys);
+}
--- a/crates/daemon/src/meter.rs
+++ b/crates/daemon/src/meter.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use masticdeal_ownership::ids::ShardId;
+use masticdeal_ownership::sketch::{HotKeys, SketchSettings};
 
 /// Time over which requests are counted before the rates are renewed.
 const WINDOW: Duration = Duration::from_secs(2);
 
+/// Hottest keys in a report; the target size has 18 hot keys in all.
+const REPORTED_KEYS: usize = 18;
+
 /// Shards that are counted; a daemon owns far fewer.
 const MAX_SHARDS: usize = 4_096;
 
@@ -19,40 +23,73 @@
     pub total: f32,
     /// Each shard with any requests.
     pub shards: Vec<(ShardId, f32)>,
-    /// Shard, hash and rate of the hottest keys.
-    pub keys: Vec<(ShardId, u64, f32)>,
+    /// Hash and rate of the hottest keys.
+    pub keys: Vec<(u64, f32)>,
 }
 
-#[derive(Debug, Default)]
+/// What a request of a divided service is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Shard of the key; `None` when the key has an owner of its own.
+    pub shard: Option<ShardId>,
+    /// xxh3 hash of the key.
+    pub key_hash: u64,
+}
+
+#[derive(Debug)]
 struct State {
     started: Duration,
     counts: HashMap<ShardId, u32>,
+    hot: HotKeys,
     total: u32,
     last: Rates,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            started: Duration::ZERO,
+            counts: HashMap::new(),
+            hot: HotKeys::new(SketchSettings::default()),
+            total: 0,
+            last: Rates::default(),
+        }
+    }
+}
+
 /// Counter of the requests that this daemon runs.
 #[derive(Debug, Default)]
 pub struct Meter(Mutex<State>);
 
 impl Meter {
-    /// Counts one request; `place` is the shard and the key's hash for a divided service.
-    pub fn count(&self, now: Duration, place: Option<(ShardId, u64)>) {
+    /// Counts one request; `place` stands for a divided service.
+    pub fn count(&self, now: Duration, place: Option<Place>) {
         let mut state = self.0.lock().unwrap();
         state.turn(now);
         state.total += 1;
-        if let Some((shard, _)) = place
+        let Some(place) = place else {
+            return;
+        };
+        state.hot.record(now, place.key_hash);
+        if let Some(shard) = place.shard
             && (state.counts.len() < MAX_SHARDS || state.counts.contains_key(&shard))
         {
             *state.counts.entry(shard).or_default() += 1;
         }
     }
 
-    /// Returns the rates of the last whole window.
+    /// Returns the rates of the last whole window, and of the hottest keys.
     pub fn rates(&self, now: Duration) -> Rates {
         let mut state = self.0.lock().unwrap();
         state.turn(now);
-        state.last.clone()
+        let hot = state.hot.hottest(now, REPORTED_KEYS);
+        Rates {
+            keys: hot
+                .into_iter()
+                .map(|(key, rate)| (key, rate as f32))
+                .collect(),
+            ..state.last.clone()
+        }
     }
 }
 
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -63,8 +63,6 @@
     /// Runs a request at the target beside this daemon. Dropping the future, or the body of the
     /// answer, cancels the request.
     pub async fn handle(&self, request: Request) -> Outcome {
-        let place = request.head.shard.zip(request.head.key_hash);
-        self.node.meter.count(self.node.clock.now(), place);
         match self.run(request).await {
             Ok(answer) => Outcome::Answer(answer),
             Err(failure) => {
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use masticdeal_ownership::ids::{Epoch, ServiceId, ShardId};
+use masticdeal_ownership::lease::override_shard;
 use masticdeal_policy::Verdict;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{Forward, Reason};
@@ -21,6 +22,7 @@
 use super::shards::Entered;
 use super::target::Connection;
 use crate::exchange::{Answer, Body, Failure, Request, end_to_end, to_header_map, to_wire_ms};
+use crate::meter::Place;
 use crate::node::Node;
 use crate::telemetry::traces::Hop;
 
@@ -83,13 +85,17 @@
         };
         // Counted before the first check, so that a move that waits for the shard sees every
         // request that passed the check.
-        let shard = head
-            .shard
-            .map(|shard| self.shards.enter(head.service, shard));
+        let own = key.is_some_and(|(_, hash)| self.has_override(head.service, hash));
+        let shard = head.shard.filter(|_| !own);
+        let entered = key.map(|(_, hash)| self.shards.enter(head.service, shard, hash));
+        let place = key.map(|(_, key_hash)| Place { shard, key_hash });
+        self.node.meter.count(self.node.clock.now(), place);
         let slot = self.admit(&head, &right, deadline).await?;
         let target = self.target_for(head.service)?;
         let epoch = right.epoch()?;
-        let request = build(&head, body, epoch, &target.address, &hop)?;
+        let granted = key.map(|(shard, hash)| if own { override_shard(hash) } else { shard });
+        let held = granted.zip(epoch);
+        let request = build(&head, body, held, &target.address, &hop)?;
         let job = Job {
             owner: self,
             right,
@@ -97,7 +103,13 @@
             address: target.address,
             deadline,
         };
-        job.run(request, slot, shard).await
+        job.run(request, slot, entered).await
+    }
+
+    fn has_override(&self, service: ServiceId, key_hash: u64) -> bool {
+        let table = self.node.table.borrow();
+        let known = table.service(service);
+        known.is_some_and(|s| s.overrides.iter().any(|o| o.key_hash == key_hash))
     }
 
     async fn admit(
@@ -310,7 +322,7 @@
 fn build(
     head: &Forward,
     body: Body,
-    epoch: Option<Epoch>,
+    held: Option<(ShardId, Epoch)>,
     address: &SocketAddr,
     hop: &Hop,
 ) -> Result<http::Request<Body>, Failure> {
@@ -325,7 +337,7 @@
     }
     map.insert(headers::REQUEST_ID, text(&head.request_id)?);
     map.insert(headers::TRACEPARENT, text(&hop.traceparent())?);
-    if let (Some(shard), Some(epoch)) = (head.shard, epoch) {
+    if let Some((shard, epoch)) = held {
         map.insert(headers::SHARD, HeaderValue::from(shard.0));
         map.insert(headers::EPOCH, HeaderValue::from(epoch.0));
     }
--- a/crates/daemon/src/owner/shards.rs
+++ b/crates/daemon/src/owner/shards.rs
@@ -1,9 +1,12 @@
-//! Counts the requests of each shard, so that a planned move can wait for the last one.
+//! Counts the requests of each shard and key, so that a planned move can wait for the last one.
+//!
+//! A key stands as the pseudo shard by which grants name it, see [`override_shard`].
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use masticdeal_ownership::ids::{ServiceId, ShardId};
+use masticdeal_ownership::lease::override_shard;
 use tokio::sync::Notify;
 
 type Key = (ServiceId, ShardId);
@@ -16,13 +19,24 @@
 }
 
 impl Shards {
-    /// Counts one request until the guard is dropped.
-    pub fn enter(self: &Arc<Self>, service: ServiceId, shard: ShardId) -> Entered {
-        let key = (service, shard);
-        *self.lock().entry(key).or_default() += 1;
+    /// Counts one request until the guard is dropped. `shard` is `None` for a key with an owner of
+    /// its own, whose requests do not hold up a move of its shard.
+    pub fn enter(
+        self: &Arc<Self>,
+        service: ServiceId,
+        shard: Option<ShardId>,
+        key_hash: u64,
+    ) -> Entered {
+        let key = (service, override_shard(key_hash));
+        let shard = shard.map(|shard| (service, shard));
+        let keys = [Some(key), shard];
+        let mut counts = self.lock();
+        for key in keys.into_iter().flatten() {
+            *counts.entry(key).or_default() += 1;
+        }
         Entered {
             shards: Arc::clone(self),
-            key,
+            keys,
         }
     }
 
@@ -49,19 +63,21 @@
 #[derive(Debug)]
 pub struct Entered {
     shards: Arc<Shards>,
-    key: Key,
+    keys: [Option<Key>; 2],
 }
 
 impl Drop for Entered {
     fn drop(&mut self) {
         let mut counts = self.shards.lock();
-        let Some(count) = counts.get_mut(&self.key) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(&self.key);
-            self.shards.emptied.notify_waiters();
+        for key in self.keys.into_iter().flatten() {
+            let Some(count) = counts.get_mut(&key) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&key);
+                self.shards.emptied.notify_waiters();
+            }
         }
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -212,6 +212,7 @@
     );
     tokio::spawn(control.clone().watch_config(platform, is_watching));
     tokio::spawn(election.run());
+    tokio::spawn(control.clone().plan_rounds());
 }
 
 /// Returns whether the session ended within `limit`.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -143,8 +143,8 @@
     pub rate: f32,
     /// Rate of each shard with any requests.
     pub shards: Vec<(ShardId, f32)>,
-    /// Shard, hash and rate of the hottest keys.
-    pub keys: Vec<(ShardId, u64, f32)>,
+    /// Hash and rate of the hottest keys.
+    pub keys: Vec<(u64, f32)>,
     /// What the daemon holds.
     pub versions: Versions,
 }
