--- /dev/null
+++ b/crates/ownership/examples/slopes.rs
@@ -0,0 +1,223 @@
+//! Processor time of the ownership operations by size of the table, as CSV.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use masticdeal_ownership::change::{Change, Delta, EndCause};
+use masticdeal_ownership::ids::{ChangeId, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::lease::{
+    Core, CoreSettings, Effect, Event, Identity, Outcome, Renewal, TargetReport,
+};
+use masticdeal_ownership::planner::{self, Loads, PlanSettings, ServiceLoad};
+use masticdeal_ownership::spread;
+use masticdeal_ownership::table::{self, Session, Table, TargetInfo, TargetState};
+
+fn session(at: u32) -> Session {
+    Session {
+        id: SessionId(at),
+        incarnation: u64::from(at) + 1,
+        vm: format!("vm-{at}"),
+        address: ([127, 0, (at >> 8) as u8, at as u8], 7001).into(),
+        region: format!("region-{}", at % 3),
+        data_centre: format!("dc-{}", at % 7),
+        lessors: Vec::new(),
+        term: 1,
+        target: None,
+    }
+}
+
+fn target() -> TargetInfo {
+    TargetInfo {
+        service: ServiceId(0),
+        slots: 6,
+        checks_grants: true,
+        state: TargetState::Ready,
+        capacity: 0,
+    }
+}
+
+fn step(table: &Table, changes: Vec<Change>) -> Table {
+    table.apply(&delta(table, changes)).expect("change fits")
+}
+
+fn delta(table: &Table, changes: Vec<Change>) -> Delta {
+    Delta {
+        to: table.version + 1,
+        change_id: ChangeId(table.version + 1),
+        changes,
+    }
+}
+
+/// A table whose sessions all have a target of the one service, and two lessors.
+fn build(sessions: u32, shards: u32) -> Table {
+    let declare = Change::DeclareService {
+        name: "search".into(),
+        shards,
+    };
+    let mut table = step(&Table::default(), vec![declare]);
+    let joins = (0..sessions).map(|at| Change::Join {
+        session: session(at),
+    });
+    table = step(&table, joins.collect());
+    let mut changes = Vec::new();
+    for at in 0..sessions {
+        changes.push(Change::SetTarget {
+            session: SessionId(at),
+            target: Some(target()),
+        });
+        changes.push(Change::SetLessors {
+            session: SessionId(at),
+            term: table.sessions[at as usize].term,
+            lessors: vec![
+                SessionId((at + 1) % sessions),
+                SessionId((at + 2) % sessions),
+            ],
+        });
+    }
+    table = step(&table, changes);
+    let assign = spread::assign(&table, |_| false, |_| false);
+    step(&table, assign)
+}
+
+/// Joins a core to the table, gives it shard 0 and returns it with a live lease.
+fn member(base: &Table) -> Core {
+    let me = Identity {
+        incarnation: u64::MAX,
+        vm: "vm-new".into(),
+        address: ([127, 9, 9, 9], 7001).into(),
+        region: "region-0".into(),
+        data_centre: "dc-0".into(),
+        bound_at: Duration::ZERO,
+        seed: 1,
+    };
+    let mut core = Core::new(CoreSettings::default(), me);
+    let report = TargetReport {
+        service: "search".into(),
+        slots: 6,
+        checks_grants: true,
+        state: TargetState::Ready,
+        capacity: 0,
+    };
+    core.handle(Duration::ZERO, Event::TargetChanged(Some(report)));
+    let table = Some(Arc::new(base.clone()));
+    let effects = core.handle(Duration::ZERO, Event::TableRead { read: 1, table });
+    let swap = effects.into_iter().find_map(|e| match e {
+        Effect::Swap { delta, .. } => Some(delta.change_id),
+        _ => None,
+    });
+    let change_id = swap.expect("core joins");
+    let outcome = Outcome::Done;
+    core.handle(Duration::ZERO, Event::SwapOutcome { change_id, outcome });
+    let (now, me) = (core.table().clone(), core.session().expect("joined"));
+    let shard = now.services[0].shards[0];
+    let changes = vec![
+        Change::SetTarget {
+            session: me,
+            target: Some(target()),
+        },
+        Change::Move {
+            service: ServiceId(0),
+            shard: ShardId(0),
+            from: shard.owner.expect("owned"),
+            epoch: shard.epoch,
+            to: me,
+        },
+    ];
+    let gift = delta(&now, changes);
+    core.handle(Duration::ZERO, Event::DeltasLearned(vec![gift]));
+    core
+}
+
+/// Median time of one call, over batches.
+fn time(batch: u32, mut call: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..15)
+        .map(|_| {
+            let start = Instant::now();
+            for _ in 0..batch {
+                call();
+            }
+            start.elapsed().as_secs_f64() * 1e6 / f64::from(batch)
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+fn row(sessions: u32, shards: u32) {
+    let base = build(sessions, shards);
+    let bytes = table::encode(&base).expect("table encodes");
+    let lost = SessionId(sessions / 2);
+    let end = Change::End {
+        session: lost,
+        term: base.session(lost).expect("session").term,
+        cause: EndCause::LeaseExpired,
+    };
+    let ended = step(&base, vec![end.clone()]);
+    let mut changes = vec![end];
+    changes.extend(spread::assign(&ended, |_| false, |_| false));
+    let loss = delta(&base, changes);
+    let apply = time(20, || drop(black_box(base.apply(&loss))));
+    let decode = time(20, || drop(black_box(table::decode(&bytes))));
+    let encode = time(20, || drop(black_box(table::encode(&base))));
+    let rates = (0..shards).map(|at| 1.0 / f64::from(at % 97 + 1)).collect();
+    let loads = Loads {
+        services: vec![ServiceLoad {
+            shards: rates,
+            hot: Vec::new(),
+        }],
+    };
+    let settings = PlanSettings::default();
+    let plan = time(10, || {
+        drop(black_box(planner::plan(&base, &loads, &settings)))
+    });
+    let core = member(&base);
+    let now = Duration::from_millis(1);
+    let served = core.may_serve(now, ServiceId(0), ShardId(0), 0);
+    assert!(served.is_ok(), "{served:?}");
+    let serve = time(10_000, || {
+        let _ = black_box(core.may_serve(now, ServiceId(0), ShardId(0), 0));
+    });
+    let mut core = member(&base);
+    let renewal = Renewal {
+        lessee: SessionId(0),
+        lessor: core.session().expect("joined"),
+        term: 1,
+        sequence: 1,
+        version: 0,
+    };
+    let renew = time(100, || {
+        drop(black_box(core.handle(now, Event::RenewRequest(renewal))))
+    });
+    let learn = time_learn(&base);
+    println!(
+        "{sessions},{shards},{},{apply:.1},{decode:.1},{encode:.1},{plan:.1},{learn:.1},{renew:.2},{:.4}",
+        bytes.len(),
+        serve
+    );
+}
+
+/// Median time in which a core learns one delta that changes one target.
+fn time_learn(base: &Table) -> f64 {
+    let mut core = member(base);
+    time(10, || {
+        let now = core.table().clone();
+        let change = Change::SetTarget {
+            session: SessionId(0),
+            target: Some(target()),
+        };
+        let next = delta(&now, vec![change]);
+        core.handle(Duration::ZERO, Event::DeltasLearned(vec![next]));
+    })
+}
+
+fn main() {
+    println!(
+        "sessions,shards,bytes,apply_us,decode_us,encode_us,plan_us,learn_us,renew_us,may_serve_us"
+    );
+    for sessions in [40, 120, 480] {
+        for shards in [1024, 4096, 16_384] {
+            row(sessions, shards);
+        }
+    }
+}
