--- a/crates/ownership/tests/recovery.rs
+++ b/crates/ownership/tests/recovery.rs
@@ -121,6 +121,25 @@
     expect_that!(world.served(), eq(SHARDS as usize));
 }
 
+/// Guards against a change of lessors that starts in an outage: until its outcome is known only the
+/// other lessor counts, so the loss of that one would stop the lessee.
+#[googletest::test]
+fn a_lessor_paused_in_an_outage_counts_again_when_the_other_is_lost() {
+    let mut world = steady(2, 4);
+    world.platform.down_until = world.now + ms(60_000);
+    run(&mut world, ms(1_000));
+    for vm in [0, 3, 6] {
+        inject(&mut world, Fault::Freeze(vm, 440));
+    }
+    run(&mut world, ms(2_000));
+    expect_that!(stopped(&world), eq(0));
+    for vm in [1, 4, 7] {
+        inject(&mut world, Fault::Kill(vm));
+    }
+    run(&mut world, ms(3_000));
+    expect_that!(stopped(&world), eq(0));
+}
+
 /// Guards against a fleet that cannot start again after all leases ran out at once (R12).
 #[googletest::test]
 fn the_fleet_recovers_from_a_pause_of_all_processes() {
