--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -99,21 +99,22 @@
 /// Returns whether a segment of the path is `.` or `..`, plain or percent-encoded. A target may
 /// resolve such segments and so read other segments than the router.
 pub(crate) fn has_dot_segment(path: &str) -> bool {
-    path.split('/').any(|segment| {
-        let mut rest = segment;
-        let mut dots = 0;
-        while let Some(after) = strip_dot(rest) {
-            rest = after;
-            dots += 1;
-        }
-        rest.is_empty() && (dots == 1 || dots == 2)
-    })
+    path.split('/').any(is_dot_segment)
+}
+
+fn is_dot_segment(segment: &str) -> bool {
+    let Some(rest) = strip_dot(segment) else {
+        return false;
+    };
+    rest.is_empty() || strip_dot(rest).is_some_and(str::is_empty)
 }
 
 fn strip_dot(segment: &str) -> Option<&str> {
-    [".", "%2e", "%2E"]
-        .iter()
-        .find_map(|dot| segment.strip_prefix(dot))
+    match segment.as_bytes() {
+        [b'.', ..] => Some(&segment[1..]),
+        [b'%', b'2', b'e' | b'E', ..] => Some(&segment[3..]),
+        _ => None,
+    }
 }
 
 /// Decodes `%XX`, and `+` as a space when `plus` is set. Returns `None` for a malformed escape and
