Name the questions that show the outcome of a lost command

Cause: `set` without an outcome ended without advice.

Change: the message names `show config` and `show targets`. A test connects the tool to a daemon that accepts and never answers: a command is not repeated on the next daemon, a question is.

--- a/crates/cli/src/ask.rs
+++ b/crates/cli/src/ask.rs
@@ -54,9 +54,13 @@
         print_help();
         return Ok(Exit::Ok);
     }
-    let answer = client
-        .call(&call(cli, &sentence, subject.as_deref())?)
-        .await?;
+    let call = call(cli, &sentence, subject.as_deref())?;
+    let answer = client.call(&call).await.map_err(|error| match error {
+        Error::Unknown(why) => Error::Unknown(format!(
+            "{why}. Look with `show config` or `show targets` before you repeat `{sentence}`"
+        )),
+        other => other,
+    })?;
     let exit = exit_of(&answer)?;
     if let Some(value) = answer.raw_header(SUBJECT) {
         *subject = Some(value.into());
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -176,6 +176,34 @@
     expect_that!(run.out, eq("Fine.\n"));
 }
 
+/// Guards against a command that is repeated on another daemon although the first may have run it.
+#[gtest]
+fn command_without_an_outcome_is_not_repeated() {
+    let directory = directory("silent");
+    let store = fake::store();
+    answer(&store, "show load", 200, "Fine.");
+    answer(&store, "drain vm-3", 200, "Done.");
+    let (_runtime, daemon) = fake::background(&store);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let daemons = [silent.local_addr().unwrap(), daemon];
+    let drain = run(
+        &directory,
+        &daemons,
+        &["drain", "vm-3", "--timeout-ms", "50"],
+    );
+    expect_that!(drain.exit, eq(4));
+    expect_that!(
+        drain.err,
+        contains_substring("before you repeat `drain vm-3`")
+    );
+    let question = run(
+        &directory,
+        &daemons,
+        &["show", "load", "--timeout-ms", "1000"],
+    );
+    expect_that!(question.out, eq("Fine.\n"));
+}
+
 #[gtest]
 fn accepted_change_is_followed_until_it_is_in_force() {
     let directory = directory("force");
--- /dev/null
+++ b/crates/daemon/tests/journal.rs
@@ -0,0 +1,135 @@
+//! The journal of decisions, and its entries from deltas, whole tables and configurations.
+
+mod world;
+
+use googletest::prelude::*;
+use masticdeal_config::deployment::Deployment;
+use masticdeal_config::diff::Difference;
+use masticdeal_ownership::change::{Change, Delta};
+use masticdeal_ownership::ids::{ChangeId, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::table::{Table, TargetState};
+use masticdeal_wire::peer::Versions;
+use masticdeald::operators::from_delta;
+use masticdeald::operators::journal::{Cause, Entry, Journal, What};
+use masticdeald::operators::learned;
+use world::{NOW_MS, World, before, session, table};
+
+/// Guards against a journal that grows with the fleet, and against one that claims to be complete.
+#[gtest]
+fn journal_stays_within_its_budget() {
+    let mut journal = Journal::new(5, 10_000);
+    for time_ms in 100..1_100 {
+        let what = What::Assigned {
+            service: "search".into(),
+            // Every second shard, so that no two join into one range.
+            shards: (0..50).map(|n| ShardId(2 * n)).collect(),
+            vm: "vm-1".into(),
+            session: SessionId(1),
+        };
+        let versions = Versions::default();
+        journal.record(Entry {
+            time_ms,
+            versions,
+            what,
+            cause: Cause::FirstOwner,
+        });
+        assert_that!(journal.cost(), le(10_000));
+    }
+    let held = journal.entries().count() as u64;
+    expect_that!(held, gt(5));
+    expect_that!(held + journal.dropped(), eq(1_000));
+    expect_that!(journal.reaches_back_to(), eq(1_100 - held));
+    expect_that!(journal.since(1_098).count(), eq(2));
+    let newest = journal
+        .newest(|e| e.gave_shard("search", ShardId(4)))
+        .unwrap();
+    expect_that!(newest.time_ms, eq(1_099));
+    expect_that!(
+        journal.newest(|e| e.gave_shard("search", ShardId(5))),
+        none()
+    );
+}
+
+/// Guards against a daemon that read a whole table and then cannot say why a VM owns a key.
+#[gtest]
+fn whole_table_fills_the_journal_like_deltas() {
+    let mut old = before();
+    old.services[0].shards[0].owner = Some(SessionId(2));
+    old.services[0].overrides.clear();
+    let entries = learned::table(&old, &table(), 4, NOW_MS);
+    let text: Vec<String> = entries.iter().map(ToString::to_string).collect();
+    for expected in [
+        "vm-0 was ended (session 0) because this daemon learned of it afterwards",
+        "the target of vm-5 became draining because its target or an operator asked for it",
+        "vm-2 got shard 1 of search because vm-0 was ended: this daemon learned of it afterwards",
+        "vm-1 got shard 0 of search because it was moved from vm-2",
+        "vm-3 got a hot key of search as an override because another daemon decided so",
+    ] {
+        expect_that!(text, contains(eq(expected)));
+    }
+    expect_that!(text, len(eq(5)));
+    expect_that!(learned::table(&table(), &table(), 4, NOW_MS), is_empty());
+    let from_nothing = learned::table(&Table::default(), &table(), 4, NOW_MS);
+    for at in 0..3 {
+        let given = from_nothing
+            .iter()
+            .filter(|e| e.gave_shard("search", ShardId(at)));
+        expect_that!(given.count(), eq(1), "shard {at}");
+    }
+}
+
+/// Guards against a drained VM whose operator is not named.
+#[gtest]
+fn configuration_in_the_journal_names_its_author() {
+    let mut world = World::new();
+    let difference = Difference::Rule {
+        key: "away".into(),
+        old: "vm-9".into(),
+        new: "vm-9, vm-5".into(),
+    };
+    let (before, after) = (Deployment::default(), world.deployment.clone());
+    let mut entry = learned::config(&before, &after, &world.config, 17, NOW_MS - 1_000);
+    let text = "configuration revision 4 was accepted (service search added";
+    expect_that!(entry.to_string(), starts_with(text));
+    expect_that!(entry.to_string(), ends_with("because Ayşe asked for it"));
+    if let What::Configured { differences, .. } = &mut entry.what {
+        differences.0 = vec![difference];
+    }
+    world.journal.record(entry);
+    let (_, text) = world.ask("why is vm-5 away");
+    expect_that!(
+        text,
+        contains_substring("(rules.away: vm-9 -> vm-9, vm-5) because Ayşe asked")
+    );
+}
+
+/// A session that joins and a service that is declared in one swap are named in the same swap.
+#[gtest]
+fn one_swap_can_refer_to_what_it_adds() {
+    let delta = Delta {
+        to: 1,
+        change_id: ChangeId(1),
+        changes: vec![
+            Change::Join {
+                session: session(9, 0, TargetState::Ready),
+            },
+            Change::DeclareService {
+                name: "search".into(),
+                shards: 4,
+            },
+            Change::Assign {
+                service: ServiceId(0),
+                owner: SessionId(0),
+                shards: (0..4).map(ShardId).collect(),
+            },
+        ],
+    };
+    let entries = from_delta::entries(&Table::default(), &delta, 1, 1, None);
+    let text: Vec<String> = entries.iter().map(ToString::to_string).collect();
+    expect_that!(
+        text[0],
+        eq("vm-9 joined as session 0 because the daemon asked for it")
+    );
+    let assigned = "vm-9 got 4 shards of search because nobody owned it at that moment";
+    expect_that!(text[2], eq(assigned));
+}
