--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -135,7 +135,7 @@
 fn messages_arrive_in_pieces() {
     arrives_in_pieces(&forward());
     arrives_in_pieces(&Pull { have: VERSIONS });
-    arrives_in_pieces(&ReleaseReply::Busy);
+    arrives_in_pieces(&ReleaseReply::NotOwner);
     arrives_in_pieces(&ForwardReply::Failed {
         verdict: Verdict::MayHaveRun,
         reason: Reason::Silent,
@@ -197,7 +197,7 @@
         decode_body::<News>(&body),
         err(matches_pattern!(Error::Malformed(_)))
     );
-    let mut trailing = framed(&ReleaseReply::Busy)[PREFIX_BYTES..].to_vec();
+    let mut trailing = framed(&ReleaseReply::NotOwner)[PREFIX_BYTES..].to_vec();
     trailing.push(0);
     let found = decode_body::<ReleaseReply>(&trailing);
     expect_that!(found, err(eq(&Error::TrailingBytes(1))));
