--- a/crates/daemon/tests/common/target.rs
+++ b/crates/daemon/tests/common/target.rs
@@ -28,6 +28,10 @@
     Hang,
     /// Refuses with this status and the verdict `NotRun`.
     Refuse(u16),
+    /// Refuses the first request with 503 and the verdict `NotRun`, and echoes all others.
+    RefuseOnce,
+    /// Echoes and closes the connection without announcing it.
+    EchoAndClose,
     /// Sends a chunk of 8 bytes at each release, and ends after this many.
     Chunks(usize),
 }
@@ -97,9 +101,15 @@
         let Some((head, body)) = read_request(&mut stream, &mut buf).await? else {
             return Ok(());
         };
-        heads.fetch_add(1, Ordering::SeqCst);
-        let script = *script.lock().unwrap();
+        let number = heads.fetch_add(1, Ordering::SeqCst);
+        let script = match *script.lock().unwrap() {
+            Script::RefuseOnce if number == 0 => Script::Refuse(503),
+            Script::RefuseOnce => Script::Echo,
+            other => other,
+        };
         match script {
+            Script::RefuseOnce => unreachable!("replaced above"),
+            Script::EchoAndClose => return stream.write_all(&echo(&head, &body)).await,
             Script::Echo => stream.write_all(&echo(&head, &body)).await?,
             Script::CutLength => {
                 return stream
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
-use common::{Caller, Script, Target, call, pair, read, request};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use common::{Caller, Script, Target, call, pair, read, request, until};
 use googletest::prelude::*;
 use http_body_util::BodyExt;
+use masticdeal_wire::target::AnnouncedState;
 
 /// Guards against lost or altered parts of a request or an answer on the way, and against control
 /// headers that a caller or a target forges.
@@ -63,6 +67,102 @@
     expect_that!(answer.frame().await.is_none(), eq(true));
 }
 
+/// Guards against bodies that stop at a flow-control window, and against a request body that is
+/// lost or altered between two attempts.
+#[gtest]
+#[tokio::test]
+async fn bodies_of_all_sizes_pass_whole() {
+    let target = Target::start(Script::Echo).await;
+    let (ingress, owner) = pair(target.address, |_| {}).await;
+    for size in [0, 1, 60_000, 70_000, 3_000_000] {
+        let body: String = ('a'..='z').cycle().take(size).collect();
+        for port in [ingress.callers, owner.callers] {
+            let seen = call(port, request("POST", "/search/1", &[], body.clone())).await;
+            let whole = seen.body == Ok(format!("POST /search/1 HTTP/1.1\n{body}"));
+            expect_that!(whole, eq(true), "{size}");
+        }
+    }
+    let target = Target::start(Script::RefuseOnce).await;
+    owner.announce(target.address, 2, AnnouncedState::Ready);
+    let seen = call(
+        ingress.callers,
+        request("POST", "/search/1", &[], "x".repeat(60_000)),
+    )
+    .await;
+    let expected = format!("POST /search/1 HTTP/1.1\n{}", "x".repeat(60_000));
+    expect_that!(
+        seen.body == Ok(expected),
+        eq(true),
+        "the second attempt has the whole body"
+    );
+    expect_that!(target.count(), eq(2));
+    let target = Target::start(Script::RefuseOnce).await;
+    owner.announce(target.address, 2, AnnouncedState::Ready);
+    let seen = call(
+        ingress.callers,
+        request("POST", "/search/1", &[], "x".repeat(600_000)),
+    )
+    .await;
+    expect_that!(seen.failure(), eq((503, "NotRun", "target-refused")));
+    expect_that!(target.count(), eq(1), "a long body is sent once only");
+}
+
+/// Guards against a target's connection that is reused after it has closed, and against a second
+/// run of a request that such a connection may have carried.
+#[gtest]
+#[tokio::test]
+async fn reused_target_connections() {
+    let target = Target::start(Script::EchoAndClose).await;
+    let (_ingress, owner) = pair(target.address, |_| {}).await;
+    for _ in 0..5 {
+        let closed = target.closed.load(Ordering::SeqCst);
+        let seen = call(owner.callers, request("POST", "/search/1", &[], "")).await;
+        expect_that!(seen.status, eq(200));
+        until(|| target.closed.load(Ordering::SeqCst) > closed).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    *target.script.lock().unwrap() = Script::Echo;
+    call(owner.callers, request("POST", "/search/1", &[], "")).await;
+    *target.script.lock().unwrap() = Script::CloseAfterRead;
+    let seen = call(owner.callers, request("POST", "/search/1", &[], "")).await;
+    expect_that!(seen.failure(), eq((502, "MayHaveRun", "target-failed")));
+    expect_that!(target.count(), eq(7));
+}
+
+/// Guards against callers with HTTP/2 being served worse: own answers, cut answers, verdicts.
+#[gtest]
+#[tokio::test]
+async fn callers_may_use_h2() {
+    let target = Target::start(Script::Echo).await;
+    let (ingress, _owner) = pair(target.address, |_| {}).await;
+    let stream = tokio::net::TcpStream::connect(ingress.callers)
+        .await
+        .unwrap();
+    let (mut send, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    for (script, is_whole) in [(Script::Echo, true), (Script::CutChunked, false)] {
+        *target.script.lock().unwrap() = script;
+        let request = http::Request::get("http://a.test/search/1")
+            .body(())
+            .unwrap();
+        let (response, _) = send.send_request(request, true).unwrap();
+        let response = response.await.unwrap();
+        expect_that!(response.status().as_u16(), eq(200));
+        if is_whole {
+            expect_that!(response.headers()["got-host"].as_bytes(), eq(b"a.test"));
+        }
+        let mut body = response.into_body();
+        let whole = loop {
+            match body.data().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(_)) => {}
+            }
+        };
+        expect_that!(whole, eq(is_whole), "{script:?}");
+    }
+}
+
 /// Guards against a cut answer that looks whole.
 #[gtest]
 #[tokio::test]
