--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -56,10 +56,12 @@
         /// Target that the answer names.
         target: String,
     },
-    /// {id} started at {target}, although its caller was told that it did not run
+    /// {id} started at {target}, although its caller was told that it did not run ({reason})
     NotRunRan {
         /// Request.
         id: String,
+        /// Reason that the caller was told.
+        reason: String,
         /// Target of the first start.
         target: String,
     },
@@ -149,6 +151,7 @@
         },
         (Seen::Failed, Some(Verdict::NotRun), Some(start)) => Violation::NotRunRan {
             id,
+            reason: outcome.reason.clone().unwrap_or_default(),
             target: start.target.clone(),
         },
         _ => return,
