--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -12,7 +12,7 @@
 use masticdeal_ownership::lease::Event;
 use masticdeal_ownership::table::Table;
 use masticdeal_wire::headers::PATH_RELEASE;
-use masticdeal_wire::peer::{ConfigValue, Release, ReleaseReply};
+use masticdeal_wire::peer::{ConfigValue, MoveReason, Release, ReleaseReply};
 
 use super::Control;
 use super::config_store::{Error, Proposal, Result};
@@ -40,7 +40,7 @@
             Action::Configure {
                 if_revision, text, ..
             } => self.configure(*if_revision, text.clone(), author).await,
-            Action::Move { .. } => self.run_move(&command.action).await,
+            Action::Move { .. } => self.run_move(&command.action, author).await,
             Action::ConfirmLost { session, .. } => self.confirm_lost(*session).await,
         }
     }
@@ -93,7 +93,7 @@
         }
     }
 
-    async fn run_move(self: &Arc<Self>, action: &Action) -> Outcome {
+    async fn run_move(self: &Arc<Self>, action: &Action, author: &str) -> Outcome {
         let Action::Move {
             service,
             shard,
@@ -116,14 +116,9 @@
             key_hash,
             epoch,
             to,
+            reason: MoveReason::Operator(author.into()),
         };
-        let reply = if Some(owner) == self.session() {
-            Some(self.on_release(release))
-        } else {
-            self.call(owner, PATH_RELEASE, &release, RELEASE_TIMEOUT)
-                .await
-        };
-        match reply {
+        match self.request_release(owner, release.clone()).await {
             Some(ReleaseReply::Started) => {}
             Some(ReleaseReply::NotOwner) => return refused("its owner changed meanwhile"),
             None => return unknown("its owner does not answer"),
@@ -136,6 +131,19 @@
             .await
     }
 
+    /// Asks an owner to begin a release; `None` when it does not answer.
+    pub(super) async fn request_release(
+        self: &Arc<Self>,
+        owner: SessionId,
+        release: Release,
+    ) -> Option<ReleaseReply> {
+        if Some(owner) == self.session() {
+            return Some(self.on_release(release));
+        }
+        self.call(owner, PATH_RELEASE, &release, RELEASE_TIMEOUT)
+            .await
+    }
+
     async fn confirm_lost(self: &Arc<Self>, session: SessionId) -> Outcome {
         let vm = self
             .node
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -51,7 +51,8 @@
         let time_ms = super::unix_ms();
         let mut journal = self.journal.lock().unwrap();
         for delta in deltas.iter().filter(|delta| delta.to > before.version) {
-            let entries = from_delta::entries(&table, delta, config, time_ms, None);
+            let cause = self.reasons.lock().unwrap().cause(delta.to);
+            let entries = from_delta::entries(&table, delta, config, time_ms, cause.as_ref());
             entries.into_iter().for_each(|entry| journal.record(entry));
             match table.apply(delta) {
                 Ok(next) => table = Arc::new(next),
@@ -245,7 +246,10 @@
         let change_id = delta.change_id;
         *self.written.lock().unwrap() = Some(delta.clone());
         let outcome = match self.tables.swap(&next, &delta).await {
-            Swapped::Done => Outcome::Done,
+            Swapped::Done => {
+                self.reasons.lock().unwrap().accepted(&delta);
+                Outcome::Done
+            }
             Swapped::Conflict(newer) => {
                 if let Some(table) = newer {
                     self.feed(Event::TableLearned(Arc::new(table)));
@@ -256,9 +260,11 @@
         };
         self.feed(Event::SwapOutcome { change_id, outcome });
         if outcome == Outcome::Done {
+            let deltas = vec![delta];
             self.spread(News {
                 origin: self.session(),
-                deltas: vec![delta],
+                reasons: self.reasons.lock().unwrap().of(&deltas),
+                deltas,
                 ..News::default()
             });
         }
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -107,6 +107,7 @@
         if !self.holds(&message) {
             return ReleaseReply::NotOwner;
         }
+        self.reasons.lock().unwrap().ask(&message);
         let event = match message.key_hash {
             None => Event::MoveRequested {
                 held: Held {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! - [`news`]: passes on and pulls what is newer.
 //! - [`watcher`]: watches the platform's service, on a few daemons only.
 //! - [`grants`]: keeps the target's grant current, and takes it back before a move.
+//! - [`reasons`]: why shards moved, for the journals.
 //! - [`target`]: tells the core about the target beside the daemon.
 //! - [`census`]: what every other daemon last reported.
 //! - [`port`], [`commands`]: the operators' port and what it carries out.
@@ -25,6 +26,7 @@
 pub mod news;
 pub mod planner;
 pub mod port;
+pub mod reasons;
 pub mod table_store;
 pub mod target;
 pub mod watcher;
@@ -45,6 +47,7 @@
 
 use census::Census;
 use config_store::ConfigStore;
+use reasons::Reasons;
 use table_store::TableStore;
 
 /// The control plane of one daemon.
@@ -64,6 +67,7 @@
     core: Arc<Mutex<Core>>,
     history: Mutex<History>,
     written: Mutex<Option<Delta>>,
+    reasons: Mutex<Reasons>,
     census: tokio::sync::Mutex<Census>,
     planning: watch::Sender<bool>,
     wake: Notify,
@@ -86,6 +90,7 @@
             journal: Mutex::new(Journal::new(unix_ms(), DEFAULT_BUDGET)),
             history: Mutex::default(),
             written: Mutex::default(),
+            reasons: Mutex::default(),
             census: tokio::sync::Mutex::default(),
             planning: watch::Sender::new(false),
             wake: Notify::new(),
--- a/crates/daemon/src/control/news.rs
+++ b/crates/daemon/src/control/news.rs
@@ -45,6 +45,10 @@
         if let Some(config) = &news.config {
             self.config.learn(config);
         }
+        for (version, reason) in &news.reasons {
+            let mut reasons = self.reasons.lock().unwrap();
+            reasons.learn(*version, reason.clone());
+        }
         if let Some(table) = &news.table {
             self.feed(Event::TableLearned(Arc::new(table.clone())));
         } else if !news.deltas.is_empty() {
@@ -66,7 +70,10 @@
         let table = self.node.table.borrow();
         if table.version > have.table {
             match history.since(have.table, table.version) {
-                Some(deltas) => news.deltas = deltas,
+                Some(deltas) => {
+                    news.reasons = self.reasons.lock().unwrap().of(&deltas);
+                    news.deltas = deltas;
+                }
                 None => news.table = Some((**table).clone()),
             }
         }
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -11,8 +11,7 @@
 use masticdeal_ownership::ids::{Epoch, SessionId, shard_of};
 use masticdeal_ownership::planner::{self, Load, Loads, Move, PlanSettings, ServiceLoad};
 use masticdeal_ownership::table::{Service, Table};
-use masticdeal_wire::headers::PATH_RELEASE;
-use masticdeal_wire::peer::{LoadReport, Release, ReleaseReply};
+use masticdeal_wire::peer::{LoadReport, MoveReason, Release, ReleaseReply};
 
 use super::Control;
 use super::census::Heard;
@@ -24,9 +23,6 @@
 /// that the planner's traffic does not grow with the fleet.
 const ASKED_PER_SECOND: u32 = 24;
 
-/// Longest wait for an owner to begin a release.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
 impl Control {
     /// Plans rounds while this daemon is the planner, until the task is dropped.
     pub async fn plan_rounds(self: Arc<Self>) {
@@ -63,18 +59,14 @@
         let Some(release) = release(table, planned) else {
             return;
         };
-        let reply = if Some(planned.from) == self.session() {
-            Some(self.on_release(release))
-        } else {
-            self.call(planned.from, PATH_RELEASE, &release, RELEASE_TIMEOUT)
-                .await
-        };
+        let shard = release.shard;
+        let reply = self.request_release(planned.from, release).await;
         match reply {
             Some(ReleaseReply::Started) => log::info!(
                 "session {} releases shard {} of service {} for session {}",
                 planned.from,
-                release.shard,
-                release.service,
+                shard,
+                planned.service,
                 planned.to
             ),
             Some(ReleaseReply::NotOwner) | None => {
@@ -87,20 +79,22 @@
 /// Returns the message by which a planned move begins.
 fn release(table: &Table, planned: &Move) -> Option<Release> {
     let service = table.service(planned.service)?;
-    let release = |shard, key_hash, epoch| Release {
+    let (shard, key_hash, epoch, reason) = match planned.load {
+        Load::Shard(held) => (held.shard, None, held.epoch, MoveReason::Balance),
+        Load::Key(hash) => {
+            let shard = shard_of(hash, u32::try_from(service.shards.len()).ok()?);
+            let epoch = key_epoch(service, hash);
+            (shard, Some(hash), epoch, MoveReason::HotKey)
+        }
+    };
+    Some(Release {
         service: planned.service,
         shard,
         key_hash,
         epoch,
         to: planned.to,
-    };
-    match planned.load {
-        Load::Shard(held) => Some(release(held.shard, None, held.epoch)),
-        Load::Key(hash) => {
-            let shard = shard_of(hash, u32::try_from(service.shards.len()).ok()?);
-            Some(release(shard, Some(hash), key_epoch(service, hash)))
-        }
-    }
+        reason,
+    })
 }
 
 /// Returns the epoch under which a key is held: that of its override, or of its shard.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -80,10 +80,23 @@
     pub deltas: Vec<Delta>,
     /// The whole table, when the sender no longer holds the deltas that are asked for.
     pub table: Option<Table>,
+    /// Why the deltas that move shards were asked for, by the version that they made.
+    pub reasons: Vec<(u64, MoveReason)>,
     /// A newer configuration.
     pub config: Option<ConfigValue>,
 }
 
+/// Why a move was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MoveReason {
+    /// The planner evens out the load.
+    Balance,
+    /// The planner gives a hot key an owner of its own.
+    HotKey,
+    /// An operator, by the name that the tool sent.
+    Operator(String),
+}
+
 /// The deployment configuration as it is stored and passed on.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigValue {
@@ -102,7 +115,7 @@
 }
 
 /// Asks an owner to release a shard or a key, so that it can be moved.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
     /// The service.
     pub service: ServiceId,
@@ -114,6 +127,8 @@
     pub epoch: Epoch,
     /// The session that is to own it next.
     pub to: SessionId,
+    /// Why.
+    pub reason: MoveReason,
 }
 
 /// Answers [`Release`].
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -10,8 +10,8 @@
 use masticdeal_policy::Verdict;
 use masticdeal_wire::codec::{Error, MAX_FRAME_BYTES, PREFIX_BYTES, decode, decode_body, encode};
 use masticdeal_wire::peer::{
-    ConfigValue, Expired, ExpiredReply, Forward, ForwardReply, LoadHint, News, Pull, Reason,
-    Release, ReleaseReply, Renew, RenewReply, Versions,
+    ConfigValue, Expired, ExpiredReply, Forward, ForwardReply, LoadHint, MoveReason, News, Pull,
+    Reason, Release, ReleaseReply, Renew, RenewReply, Versions,
 };
 use proptest::prelude::*;
 use serde::Serialize;
@@ -85,6 +85,7 @@
     };
     News {
         origin: Some(SessionId(1)),
+        reasons: vec![(7, MoveReason::Operator("duc".into()))],
         deltas: vec![delta; 3],
         table: Some(table(2, 6, 2)),
         config: Some(ConfigValue {
