--- a/crates/daemon/src/operators/learned.rs
+++ b/crates/daemon/src/operators/learned.rs
@@ -22,10 +22,13 @@
 
 /// Returns what changed from `before` to `after`; nothing when `after` is not newer.
 ///
+/// The first table of a daemon shows no decision that it saw, so that an empty `before` (version 0)
+/// yields nothing either.
+///
 /// `config` is the configuration revision that this daemon holds, and `time_ms` the Unix time in
 /// milliseconds.
 pub fn table(before: &Table, after: &Table, config: u64, time_ms: u64) -> Vec<Entry> {
-    if after.version <= before.version {
+    if before.version == 0 || after.version <= before.version {
         return Vec::new();
     }
     let tables = Tables { before, after };
