--- a/crates/bench/src/bin/prove.rs
+++ b/crates/bench/src/bin/prove.rs
@@ -291,13 +291,12 @@
                 .push(Violation::Other(format!("no recovery: {e}")));
             return Ok(());
         }
+        println!(
+            "prove: ready {} ms after the last fault",
+            since.elapsed().as_millis()
+        );
         let unserved = self.sweep().await;
-        if unserved.is_empty() {
-            println!(
-                "prove: recovered {} ms after the last fault",
-                since.elapsed().as_millis()
-            );
-        } else {
+        if !unserved.is_empty() {
             let text = format!("not served after the last fault: {unserved:?}");
             self.found.push(Violation::Other(text));
         }
