--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -113,16 +113,16 @@
 
     /// Returns the boot time at which [`Event::Tick`](super::Event::Tick) is due next.
     pub fn next_deadline(&self) -> Option<Duration> {
-        let due = self.due_at().map(|at| at.max(self.writer.not_before));
-        let asks = self
-            .book
-            .ask_at(&self.settings)
-            .map(|at| at.max(self.writer.not_before));
-        let settled = self.settling.values().copied().min();
+        let not_before = self.writer.not_before;
+        let reading = self.writer.reading();
+        let due = self.due_at().map(|at| at.max(not_before));
         let waits = match self.writer.pending {
             Some(_) => None,
-            None => due,
+            None => due.filter(|_| !reading),
         };
+        let asks = self.book.ask_at(&self.settings);
+        let asks = asks.map(|at| at.max(not_before)).filter(|_| !reading);
+        let settled = self.settling.values().copied().min();
         [
             self.lessee.next_send(),
             waits,
--- a/crates/ownership/src/lease/learn.rs
+++ b/crates/ownership/src/lease/learn.rs
@@ -8,7 +8,7 @@
 use super::writer::{OwnChange, Settled};
 use crate::change::{Change, Delta};
 use crate::checker;
-use crate::ids::{ServiceId, SessionId, ShardId};
+use crate::ids::{ServiceId, SessionId, ShardId, shard_of};
 use crate::journal::{Decision, LessorCause, MoveCause, Refusal, What};
 use crate::ring;
 use crate::spread;
@@ -171,12 +171,35 @@
                     self.settling.insert((id, shard_id), until);
                 }
             }
+            if !trusted {
+                self.settle_lost_keys(now, old, id);
+            }
         }
         if before != self.owned {
             self.effects.push(Effect::GrantsChanged);
         }
     }
 
+    /// Waits before serving keys that fell back to their shards because their owner was lost.
+    fn settle_lost_keys(&mut self, now: Duration, old: &Table, id: ServiceId) {
+        let Some(known) = self.table.service(id) else {
+            return;
+        };
+        let shards = known.shards.len() as u32;
+        let before = old.service(id).map_or(&[][..], |s| &s.overrides);
+        for lost in before {
+            let kept = known.overrides.iter().any(|o| o.key_hash == lost.key_hash);
+            let lives = lost
+                .shard
+                .owner
+                .is_some_and(|o| self.table.session(o).is_some());
+            if !kept && !lives {
+                let at = (id, shard_of(lost.key_hash, shards));
+                self.settling.insert(at, now + self.settings.settle);
+            }
+        }
+    }
+
     /// Recomputes what the proposals of optional swaps start from.
     fn adopt_hints(&mut self, now: Duration) {
         let table = self.table.clone();
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -250,6 +250,11 @@
         })
     }
 
+    /// Tells whether a read is in flight.
+    pub fn reading(&self) -> bool {
+        self.reading.is_some()
+    }
+
     /// Returns the id for a new swap.
     pub fn change_id(&mut self) -> ChangeId {
         ChangeId(self.random())
--- a/crates/ownership/src/ring.rs
+++ b/crates/ownership/src/ring.rs
@@ -96,21 +96,26 @@
     better.then_some(best)
 }
 
-/// Ranks a set of lessors; lower is better. The distance counts in large fleets only: there it
-/// keeps cycles of lessors long, in small ones it would only cause changes.
+/// Ranks a set of lessors; lower is better. Last counts what keeps cycles of lessors long: the
+/// distance in a large fleet, and in a small one an even number of lessees.
 fn score(table: &Table, place: Place<'_>, set: &[SessionId]) -> (u32, u32, u128) {
+    let small = table.sessions.len() <= SMALL_FLEET;
+    let lessees = match small {
+        true => count_lessees(table, place.id),
+        false => BTreeMap::new(),
+    };
     let mut chosen: Vec<&Session> = Vec::new();
-    let (mut ranks, mut mutual, mut steps) = (0, 0, 0);
+    let (mut ranks, mut mutual, mut last) = (0, 0, 0);
     for s in set.iter().filter_map(|&id| table.session(id)) {
         ranks += u32::from(rank(place, &chosen, s));
         mutual += u32::from(s.lessors.contains(&place.id));
-        steps += u128::from(distance(place.id, s.id));
+        last += match small {
+            true => u128::from(lessees.get(&s.id).copied().unwrap_or(0)),
+            false => u128::from(distance(place.id, s.id)),
+        };
         chosen.push(s);
     }
-    if table.sessions.len() <= SMALL_FLEET {
-        steps = 0;
-    }
-    (ranks, mutual, steps)
+    (ranks, mutual, last)
 }
 
 fn count_lessees(table: &Table, except: SessionId) -> BTreeMap<SessionId, u32> {
--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -54,6 +54,7 @@
     sequence: u64,
     tick_at: Option<Duration>,
     pub ended: u64,
+    pub handled: u64,
     pub away: bool,
 }
 
@@ -82,6 +83,7 @@
             sequence: 0,
             tick_at: None,
             ended: 0,
+            handled: 0,
             away: false,
         }
     }
@@ -165,6 +167,7 @@
         {
             vm.asked.remove(&(*lessor, *sequence));
         }
+        vm.handled += 1;
         let effects = core.handle(vm.clock.local(now), event);
         let process = vm.process;
         match vm.stall.take_if(|_| !effects.is_empty()) {
