--- a/crates/policy/examples/measure/fleet.rs
+++ b/crates/policy/examples/measure/fleet.rs
@@ -10,8 +10,13 @@
 use crate::stats::Run;
 use crate::table::Table;
 
-const BALANCERS: [(&str, Policy); 5] = [
+/// Balancer without the classes of requests.
+const ONE_CLASS: &str = "two choices unclassed";
+
+const BALANCERS: [(&str, Policy); 7] = [
     ("two choices", Policy::TwoChoices),
+    (ONE_CLASS, Policy::TwoChoices),
+    ("best score", Policy::BestScore),
     ("random", Policy::Random),
     ("round robin", Policy::RoundRobin),
     ("least outstanding", Policy::LeastOutstanding),
@@ -38,7 +43,7 @@
 /// Measures the balancers over targets of speeds 1:2:4, two of each.
 pub fn speeds(seeds: &[u64]) -> Table {
     let mut table = Table::new(
-        &["policy", "long", "load"],
+        &["policy", "ingresses", "long", "load"],
         &[
             "short_p50_ms",
             "short_p99_ms",
@@ -50,16 +55,18 @@
         ],
     );
     let mut jobs = Vec::new();
-    for long in [0.0, 0.05] {
+    for (ingresses, long) in [(3, 0.0), (3, 0.05), (30, 0.0), (30, 0.05)] {
         for load in [0.5, 0.8, 0.95] {
             for (name, policy) in BALANCERS {
                 for &seed in seeds {
                     let measure = move |seed| {
                         let mut scenario = balanced(policy);
+                        scenario.classes_at_ingress = name != ONE_CLASS;
                         scenario.speeds = vec![1.0, 1.0, 2.0, 2.0, 4.0, 4.0];
+                        scenario.ingresses = ingresses;
                         scenario.long = long;
                         // Short work alone arrives faster; the run is shorter for it.
-                        scenario.length = if long > 0.0 { 320.0 } else { 60.0 };
+                        scenario.length = if long > 0.0 { 200.0 } else { 50.0 };
                         let run = sim::run(&scenario.with_load(load), seed);
                         let [p50, p99, p999] = run.kinds[0].quantiles_ms([0.5, 0.99, 0.999]);
                         vec![
@@ -73,7 +80,12 @@
                         ]
                     };
                     jobs.push(Job {
-                        case: vec![name.into(), long.to_string(), load.to_string()],
+                        case: vec![
+                            name.into(),
+                            ingresses.to_string(),
+                            long.to_string(),
+                            load.to_string(),
+                        ],
                         seed,
                         measure: Box::new(measure),
                     });
@@ -106,6 +118,7 @@
                 for &seed in seeds {
                     let measure = move |seed| {
                         let mut scenario = balanced(policy);
+                        scenario.classes_at_ingress = name != ONE_CLASS;
                         scenario.speeds = vec![1.0, 1.0, 1.0, 0.25];
                         scenario.reports = told.clone();
                         scenario.long = 0.0;
@@ -130,7 +143,7 @@
 /// Measures ejection while a target fails, while callers ask for the impossible, and during both.
 pub fn ejection(seeds: &[u64]) -> Table {
     let mut table = Table::new(
-        &["counting", "disturbance"],
+        &["counting", "disturbance", "ingresses", "load"],
         &[
             "in_time",
             "goodput_per_s",
@@ -152,11 +165,16 @@
         ("both", true, true),
     ];
     let mut jobs = Vec::new();
-    for (disturbance, failing, storm) in disturbances {
+    let cases = [(1, 0.6), (1, 0.7), (3, 0.6), (3, 0.7)]
+        .into_iter()
+        .flat_map(|case| disturbances.map(|d| (case, d)));
+    for ((ingresses, load), (disturbance, failing, storm)) in cases {
         for (name, counting) in countings {
             for &seed in seeds {
                 let measure = move |seed| {
-                    let run = sim::run(&disturbed(counting, failing, storm), seed);
+                    let mut scenario = disturbed(load, counting, failing, storm);
+                    scenario.ingresses = ingresses;
+                    let run = sim::run(&scenario, seed);
                     let [p99] = run.kinds[0].quantiles_ms([0.99]);
                     let healthy: usize = run.ejections[1..].iter().sum();
                     vec![
@@ -169,7 +187,12 @@
                     ]
                 };
                 jobs.push(Job {
-                    case: vec![name.into(), disturbance.into()],
+                    case: vec![
+                        name.into(),
+                        disturbance.into(),
+                        ingresses.to_string(),
+                        load.to_string(),
+                    ],
                     seed,
                     measure: Box::new(measure),
                 });
@@ -183,7 +206,7 @@
 /// Share of requests that bad callers send while they are active.
 const BAD_SHARE: f64 = 0.6;
 
-fn disturbed(counting: Option<Counting>, failing: bool, storm: bool) -> Scenario {
+fn disturbed(load: f64, counting: Option<Counting>, failing: bool, storm: bool) -> Scenario {
     let mut scenario = balanced(Policy::TwoChoices);
     scenario.speeds = vec![1.0; 4];
     scenario.long = 0.0;
@@ -201,7 +224,7 @@
             all: false,
         };
     }
-    let good = 0.6 * scenario.capacity();
+    let good = load * scenario.capacity();
     scenario.peak_rate = good;
     scenario.rate = Box::new(move |_| good);
     if storm {
@@ -232,6 +255,7 @@
     let disturbances = [
         ("nothing", 0.6),
         ("one of 4 fails", 0.6),
+        ("one of 4 fails with ejection", 0.6),
         ("all fail", 0.6),
         ("load 1.3", 1.3),
     ];
@@ -250,6 +274,8 @@
                         share,
                         ..retry::BudgetSettings::default()
                     };
+                    let ejects = disturbance.contains("ejection");
+                    scenario.eject = ejects.then(eject::Settings::default);
                     scenario.faults = Faults {
                         target: 0,
                         during: DISTURBED,
--- a/crates/policy/examples/measure/scenario.rs
+++ b/crates/policy/examples/measure/scenario.rs
@@ -103,6 +103,8 @@
     pub ingresses: usize,
     /// Choice of targets.
     pub balance: balance::Settings,
+    /// Whether the ingress tells the balancer the class of a request.
+    pub classes_at_ingress: bool,
     /// Load reports of the targets in turn.
     pub reports: Vec<Report>,
     /// Ejection, if any.
@@ -137,6 +139,7 @@
             queue: queue::Settings::default(),
             ingresses: 1,
             balance: balance::Settings::default(),
+            classes_at_ingress: true,
             reports: vec![Report::True],
             eject: None,
             retry: retry::Settings {
--- a/crates/policy/examples/measure/sim.rs
+++ b/crates/policy/examples/measure/sim.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use masticdeal_policy::balance::{Balancer, Sent, TargetIx};
-use masticdeal_policy::classes::{self, Classes};
+use masticdeal_policy::classes::{self, Classes, Cost};
 use masticdeal_policy::deadline::Deadline;
 use masticdeal_policy::eject::{Change, Ejector, Standing};
 use masticdeal_policy::limit::{self, Limit};
@@ -44,6 +44,8 @@
     target: usize,
     sent: Option<Sent>,
     place: Option<TicketId>,
+    /// Shape as the ingress knows it.
+    shape: Option<classes::ShapeId>,
 }
 
 struct Job {
@@ -68,6 +70,7 @@
 
 struct Ingress {
     balancer: Balancer,
+    classes: Classes,
     ejector: Option<Ejector>,
     budget: Budget,
 }
@@ -105,6 +108,15 @@
     sim.run
 }
 
+fn shape_of(path: &str) -> classes::Request<'_> {
+    classes::Request {
+        service: "library",
+        method: "GET",
+        path,
+        key_segment: None,
+    }
+}
+
 fn time(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.max(0.0))
 }
@@ -135,6 +147,7 @@
             let settings = scenario.eject.clone();
             Ingress {
                 balancer,
+                classes: Classes::new(scenario.classes.clone()),
                 ejector: settings.map(|settings| Ejector::new(settings, targets.len())),
                 budget: Budget::new(Duration::ZERO, scenario.budget.clone()),
             }
@@ -207,6 +220,7 @@
             target: 0,
             sent: None,
             place: None,
+            shape: None,
         });
         if !drawn.bad {
             self.run.offered(self.now, drawn.long);
@@ -229,9 +243,20 @@
             Some(ejector) => ejector.standing(now, ix) == Standing::In,
             None => true,
         };
+        let request = &mut self.requests[req];
+        let class = ingress.classes.classify(now, shape_of(&request.path));
+        request.shape = Some(class.shape);
+        let classes_used = self.scenario.classes_at_ingress;
+        let cost = if classes_used {
+            class.cost
+        } else {
+            Cost::Short
+        };
+        let expected = class.expected.filter(|_| classes_used);
+        let rng = &mut self.rng;
         let chosen = match probe {
             Some(ix) => Some(ix),
-            None => ingress.balancer.choose_among(now, &mut self.rng, standing),
+            None => ingress.balancer.choose_for(now, rng, cost, standing),
         };
         let Some(ix) = chosen else {
             return self.ended(req, Ending::PeerFailed, Verdict::NotRun);
@@ -239,7 +264,8 @@
         if let (Some(ejector), Some(_)) = (&mut ingress.ejector, probe) {
             ejector.begin_probe(now, ix);
         }
-        let sent = ingress.balancer.start(now, ix);
+        let expected = expected.map(|expected| expected.mean);
+        let sent = ingress.balancer.start_for(now, ix, cost, expected);
         self.run.attempt(self.now, ix.0 as usize);
         let request = &mut self.requests[req];
         request.sent = Some(sent);
@@ -251,15 +277,7 @@
         let now = time(self.now);
         let request = &mut self.requests[req];
         let target = &mut self.targets[request.target];
-        let class = target.classes.classify(
-            now,
-            classes::Request {
-                service: "library",
-                method: "GET",
-                path: &request.path,
-                key_segment: None,
-            },
-        );
+        let class = target.classes.classify(now, shape_of(&request.path));
         let ticket = Ticket::new(class, time(request.deadline));
         target.shape_of.push((req, class.shape));
         match target.queue.push(now, ticket, req) {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -2,15 +2,19 @@
 //!
 //! The policy draws two targets at random and takes the one with the smaller score: outstanding
 //! requests times smoothed latency, both measured here. Two draws avoid the herd that a full scan
-//! by many daemons makes, and need no shared state.
+//! by many daemons makes, and need no shared state. A latency counts relative to what such requests
+//! take on the whole, since one long request would otherwise make its target look slow.
 //!
-//! Invariant: a reported load changes a score by at most the factor [`HINT_WEIGHT`] allows, so a
-//! target whose own score is worse by more than that never wins through its report.
+//! Invariant: a reported load changes a score by at most the factor [`HINT_WEIGHT`] allows, and
+//! only as far as own measurements are out of date. A target whose own score is worse by more than
+//! that never wins through its report.
 
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
 
+use crate::classes::Cost;
+
 /// Most that a reported load adds to a score, as a part of it.
 pub const HINT_WEIGHT: f64 = 0.25;
 
@@ -20,8 +24,10 @@
 /// Part of its traffic that a target receives when its ramp begins.
 const COLD_START: f64 = 0.05;
 
-/// Latency in seconds that is assumed before any target was measured.
-const UNKNOWN_LATENCY: f64 = 0.01;
+/// Factor on the estimate of a target with each of its faults, and the most that it can reach. A
+/// target that fails at once has few requests outstanding and would draw more of them.
+const FAULT_FACTOR: f64 = 1.5;
+const FAULT_MOST: f64 = 50.0;
 
 /// Dense index of a target within its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -32,6 +38,8 @@
 pub enum Policy {
     /// Better of two random targets by outstanding requests times smoothed latency.
     TwoChoices,
+    /// Best of all targets by the same score (baseline).
+    BestScore,
     /// Uniformly at random (baseline).
     Random,
     /// In turn (baseline).
@@ -75,17 +83,21 @@
 pub struct Balancer {
     settings: Settings,
     targets: Vec<Target>,
+    /// Smoothed latency of each class over all targets, in seconds.
+    typical: [Option<f64>; 2],
     next: usize,
 }
 
 #[derive(Debug, Clone, Default)]
 struct Target {
     present: bool,
-    outstanding: u32,
-    /// Sum of the start times of the outstanding requests, in seconds.
+    /// Outstanding requests by class.
+    outstanding: [u32; 2],
+    /// Sum of the start times of the outstanding short requests, in seconds.
     started: f64,
-    /// Smoothed latency in seconds and the time of its last sample.
-    latency: Option<(f64, Duration)>,
+    /// Smoothed latency of each class relative to the typical one, and the time of its last
+    /// sample. The classes are kept apart because long work waits in the queue far longer.
+    latency: [Option<(f64, Duration)>; 2],
     /// Reported load, 0 to 1, and when it came.
     report: Option<(f64, Duration)>,
     cold_since: Option<Duration>,
@@ -97,6 +109,8 @@
 pub struct Sent {
     target: TargetIx,
     at: Duration,
+    cost: Cost,
+    expected: Option<Duration>,
 }
 
 impl Sent {
@@ -104,6 +118,11 @@
     pub fn target(&self) -> TargetIx {
         self.target
     }
+
+    /// Returns the time since the request was sent.
+    pub fn elapsed(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.at)
+    }
 }
 
 impl Balancer {
@@ -112,6 +131,7 @@
         Self {
             settings,
             targets: Vec::new(),
+            typical: [None; 2],
             next: 0,
         }
     }
@@ -126,7 +146,7 @@
         entry.present = true;
         if cold {
             entry.cold_since = Some(now);
-            entry.latency = None;
+            entry.latency = [None; 2];
         }
     }
 
@@ -145,7 +165,7 @@
         }
     }
 
-    /// Chooses a target; `None` when there is none.
+    /// Chooses a target for a short request; `None` when there is none.
     pub fn choose(&mut self, now: Duration, rng: &mut impl Rng) -> Option<TargetIx> {
         self.choose_among(now, rng, |_| true)
     }
@@ -156,6 +176,17 @@
         now: Duration,
         rng: &mut impl Rng,
         allowed: impl Fn(TargetIx) -> bool,
+    ) -> Option<TargetIx> {
+        self.choose_for(now, rng, Cost::Short, allowed)
+    }
+
+    /// Chooses a target for a request of the given class.
+    pub fn choose_for(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        cost: Cost,
+        allowed: impl Fn(TargetIx) -> bool,
     ) -> Option<TargetIx> {
         let all = (0..self.targets.len() as u32).map(TargetIx);
         let open = |ix: &TargetIx| self.target(*ix).present && allowed(*ix);
@@ -165,46 +196,99 @@
             (1, _) => Some(open[0]),
             (n, Policy::Random) => Some(open[rng.random_range(0..n)]),
             (_, Policy::RoundRobin) => Some(self.in_turn(&open)),
-            (_, Policy::LeastOutstanding) => self.least(&open, rng, |t| f64::from(t.outstanding)),
+            (_, Policy::LeastOutstanding) => {
+                self.least(&open, rng, |t| f64::from(t.outstanding.iter().sum::<u32>()))
+            }
             (_, Policy::LowestReport) => self.least(&open, rng, |t| t.report.map_or(0.0, |r| r.0)),
-            (_, Policy::TwoChoices) => Some(self.better_of_two(now, &open, rng)),
+            (_, Policy::BestScore) => {
+                let mean = self.mean_latency(cost);
+                self.least(&open, rng, |t| self.score_of(t, now, mean, cost))
+            }
+            (_, Policy::TwoChoices) => Some(self.better_of_two(now, &open, rng, cost)),
         }
     }
 
-    /// Records that a request goes to a target.
+    /// Records that a short request goes to a target.
     pub fn start(&mut self, now: Duration, target: TargetIx) -> Sent {
+        self.start_for(now, target, Cost::Short, None)
+    }
+
+    /// Records that a request of the given class goes to a target.
+    ///
+    /// `expected` is the latency of such requests at any target, as the ingress has learned it;
+    /// `None` takes that of the class.
+    pub fn start_for(
+        &mut self,
+        now: Duration,
+        target: TargetIx,
+        cost: Cost,
+        expected: Option<Duration>,
+    ) -> Sent {
         if let Some(entry) = self.targets.get_mut(target.0 as usize) {
-            entry.outstanding += 1;
-            entry.started += now.as_secs_f64();
+            entry.outstanding[cost as usize] += 1;
+            if cost == Cost::Short {
+                entry.started += now.as_secs_f64();
+            }
+        }
+        Sent {
+            target,
+            at: now,
+            cost,
+            expected,
         }
-        Sent { target, at: now }
     }
 
     /// Records the end of a request. `answered` is false when it failed or was cancelled: its time
     /// then can only raise the estimate, since a target that fails fast is not a fast target.
     pub fn finish(&mut self, now: Duration, sent: Sent, answered: bool) {
         let smoothing = self.settings.smoothing;
+        let class = sent.cost as usize;
+        let latency = sent.elapsed(now).as_secs_f64();
+        if answered {
+            let typical = self.typical[class].get_or_insert(latency);
+            *typical += smoothing * (latency - *typical);
+        }
+        let typical = self.typical[class].unwrap_or(latency);
+        let expected = sent.expected.map_or(typical, |e| e.as_secs_f64());
         let Some(entry) = self.targets.get_mut(sent.target.0 as usize) else {
             return;
         };
-        entry.outstanding = entry.outstanding.saturating_sub(1);
-        entry.started -= sent.at.as_secs_f64();
-        let sample = now.saturating_sub(sent.at).as_secs_f64();
-        let (mean, _) = entry.latency.unwrap_or((sample, now));
+        entry.outstanding[class] = entry.outstanding[class].saturating_sub(1);
+        if sent.cost == Cost::Short {
+            entry.started -= sent.at.as_secs_f64();
+        }
+        if expected <= 0.0 {
+            return;
+        }
+        let sample = latency / expected;
+        let (mean, _) = entry.latency[class].unwrap_or((sample, now));
         if answered || sample > mean {
-            entry.latency = Some((mean + smoothing * (sample - mean), now));
+            entry.latency[class] = Some((mean + smoothing * (sample - mean), now));
+        }
+    }
+
+    /// Records a fault of the target, besides the end of the request.
+    pub fn fault(&mut self, now: Duration, target: TargetIx) {
+        let Some(entry) = self.targets.get_mut(target.0 as usize) else {
+            return;
+        };
+        for latency in &mut entry.latency {
+            let (mean, _) = latency.unwrap_or((1.0, now));
+            let worse = (mean * FAULT_FACTOR).min(FAULT_MOST.max(mean));
+            *latency = Some((worse, now));
         }
     }
 
     /// Returns the requests outstanding at a target.
     pub fn outstanding(&self, target: TargetIx) -> u32 {
         let entry = self.targets.get(target.0 as usize);
-        entry.map_or(0, |entry| entry.outstanding)
+        entry.map_or(0, |entry| entry.outstanding.iter().sum())
     }
 
-    /// Returns the score of a target, in seconds, from own measurements only.
+    /// Returns the score of a target for short work, from own measurements only.
     pub fn own_score(&self, now: Duration, target: TargetIx) -> f64 {
-        self.score_of(self.target(target), now, self.mean_latency())
+        let mean = self.mean_latency(Cost::Short);
+        self.score_of(self.target(target), now, mean, Cost::Short)
     }
 
     fn target(&self, ix: TargetIx) -> &Target {
@@ -229,13 +313,19 @@
         turned.min_by(|a, b| value(self.target(*a)).total_cmp(&value(self.target(*b))))
     }
 
-    fn better_of_two(&self, now: Duration, open: &[TargetIx], rng: &mut impl Rng) -> TargetIx {
-        let mean = self.mean_latency();
+    fn better_of_two(
+        &self,
+        now: Duration,
+        open: &[TargetIx],
+        rng: &mut impl Rng,
+        cost: Cost,
+    ) -> TargetIx {
+        let mean = self.mean_latency(cost);
         let first = self.draw(now, open, None, rng);
         let second = self.draw(now, open, Some(first), rng);
         let score = |ix| {
             let target = self.target(ix);
-            self.score_of(target, now, mean) * self.hint(target, now)
+            self.score_of(target, now, mean, cost) * self.hint(target, now, cost)
         };
         if score(second) < score(first) {
             second
@@ -276,48 +366,65 @@
         (passed / ramp).max(COLD_START)
     }
 
-    fn score_of(&self, target: &Target, now: Duration, mean: f64) -> f64 {
-        f64::from(target.outstanding + 1) * self.latency_of(target, now, mean)
+    /// Returns outstanding requests times relative latency. Long work has slots of its own and
+    /// waits only for long work.
+    fn score_of(&self, target: &Target, now: Duration, mean: f64, cost: Cost) -> f64 {
+        let [short, long] = target.outstanding;
+        let ahead = match cost {
+            Cost::Short => short + long,
+            Cost::Long => long,
+        };
+        f64::from(ahead + 1) * self.latency_of(target, now, mean, cost)
     }
 
-    /// Returns the latency to reckon with, in seconds.
+    /// Returns the relative latency to reckon with.
     ///
-    /// The mean age of the outstanding requests is a lower bound that needs no answer, so that a
-    /// frozen target gets worse although it yields no samples.
-    fn latency_of(&self, target: &Target, now: Duration, mean: f64) -> f64 {
-        let smoothed = match target.latency {
-            Some((latency, at)) => {
-                let age = now.saturating_sub(at).as_secs_f64();
-                let kept = (-age / self.settings.forget.as_secs_f64()).exp();
-                mean + (latency - mean) * kept
-            }
+    /// The mean age of the outstanding short requests is a lower bound that needs no answer, so
+    /// that a frozen target gets worse although it yields no samples.
+    fn latency_of(&self, target: &Target, now: Duration, mean: f64, cost: Cost) -> f64 {
+        let smoothed = match target.latency[cost as usize] {
+            Some((latency, _)) => mean + (latency - mean) * self.trust(target, now, cost),
             None => mean,
         };
-        if target.outstanding == 0 {
+        let short = target.outstanding[Cost::Short as usize];
+        let Some(typical) = self.typical[Cost::Short as usize].filter(|t| short > 0 && *t > 0.0)
+        else {
             return smoothed;
-        }
-        let mean_start = target.started / f64::from(target.outstanding);
-        smoothed.max(now.as_secs_f64() - mean_start)
+        };
+        let age = now.as_secs_f64() - target.started / f64::from(short);
+        smoothed.max(age / typical)
     }
 
-    /// Returns the mean smoothed latency of the present targets, in seconds.
-    fn mean_latency(&self) -> f64 {
+    /// Returns how far the own measurements of a target still hold, 1 for fresh ones.
+    fn trust(&self, target: &Target, now: Duration, cost: Cost) -> f64 {
+        let Some((_, at)) = target.latency[cost as usize] else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        (-age / self.settings.forget.as_secs_f64()).exp()
+    }
+
+    /// Returns the mean relative latency of the present targets.
+    fn mean_latency(&self, cost: Cost) -> f64 {
         let present = self.targets.iter().filter(|t| t.present);
-        let known: Vec<f64> = present.filter_map(|t| t.latency.map(|l| l.0)).collect();
+        let known: Vec<f64> = present
+            .filter_map(|t| t.latency[cost as usize])
+            .map(|(latency, _)| latency)
+            .collect();
         if known.is_empty() {
-            return UNKNOWN_LATENCY;
+            return 1.0;
         }
         known.iter().sum::<f64>() / known.len() as f64
     }
 
     /// Returns the factor that a reported load puts on a score, from 1 to 1 + [`HINT_WEIGHT`].
-    fn hint(&self, target: &Target, now: Duration) -> f64 {
+    fn hint(&self, target: &Target, now: Duration, cost: Cost) -> f64 {
         let Some((load, at)) = target.report else {
             return 1.0;
         };
         let age = now.saturating_sub(at).as_secs_f64();
         let fresh = (1.0 - age / self.settings.hint_age.as_secs_f64()).max(0.0);
-        1.0 + HINT_WEIGHT * load * fresh
+        1.0 + HINT_WEIGHT * load * fresh * (1.0 - self.trust(target, now, cost))
     }
 }
 
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -28,9 +28,13 @@
     pub counting: Counting,
     /// Part of the targets that may be out at once, rounded down.
     pub max_ejected: f64,
-    /// Time over which requests are counted.
+    /// Requests over which errors are counted. It is a number of requests and not a time, so that
+    /// a busy target that begins to fail is judged by its last requests.
+    pub memory: f64,
+    /// Time over which the counts fade, for targets with few requests.
     pub window: Duration,
-    /// Counted errors that a target needs before it is judged.
+    /// Counted errors that a target needs before it is judged, after fading: 4.5 is reached by five
+    /// errors in a row.
     pub min_errors: f64,
     /// Share of errors from which a target is ejected.
     pub error_share: f64,
@@ -48,8 +52,9 @@
         Self {
             counting: Counting::TargetFaults,
             max_ejected: 0.34,
-            window: Duration::from_secs(5),
-            min_errors: 5.0,
+            memory: 20.0,
+            window: Duration::from_secs(30),
+            min_errors: 4.5,
             error_share: 0.5,
             base: Duration::from_secs(2),
             longest: Duration::from_secs(30),
@@ -154,13 +159,14 @@
             // Requests from before the ejection end late and say nothing new.
             Some(_) => None,
             None => {
-                fade(state, now, self.settings.window);
+                fade(state, now, &self.settings);
                 // What is not counted as an error is not counted as a request either, unless the
                 // target did its part.
                 if counts || outcome == Outcome::Success || outcome == Outcome::CallerFault {
-                    state.requests += 1.0;
+                    let kept = 1.0 - 1.0 / self.settings.memory.max(1.0);
+                    state.requests = state.requests * kept + 1.0;
+                    state.errors = state.errors * kept + f64::from(u8::from(counts));
                 }
-                state.errors += f64::from(u8::from(counts));
                 self.judge(now, at)
             }
         }
@@ -231,9 +237,9 @@
 }
 
 /// Lets the counts of a target fade with time.
-fn fade(state: &mut Target, now: Duration, window: Duration) {
+fn fade(state: &mut Target, now: Duration, settings: &Settings) {
     let passed = now.saturating_sub(state.counted).as_secs_f64();
-    let kept = (-passed / window.as_secs_f64()).exp();
+    let kept = (-passed / settings.window.as_secs_f64()).exp();
     state.requests *= kept;
     state.errors *= kept;
     state.counted = now;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -118,14 +118,14 @@
         let id = TicketId(self.next_id);
         self.next_id += 1;
         self.counts.admitted += 1;
-        let latest = ticket.deadline.saturating_sub(expected.most);
+        let latest = ticket.deadline.checked_sub(expected.most);
         self.lanes.push(Entry {
             id,
             cost: ticket.cost,
             shape: ticket.shape,
             expected: expected.mean,
             arrived: now,
-            ages_at: self.ages_at(now, latest),
+            ages_at: self.ages_at(now, latest.unwrap_or(now)),
             start_by: self.start_by(now, ticket.deadline, latest),
             item,
         });
@@ -316,12 +316,9 @@
 
     /// Returns the last instant at which a request may start. A request that was admitted as a
     /// trial, against its expected time, may start until its deadline.
-    fn start_by(&self, now: Duration, deadline: Duration, latest: Duration) -> Duration {
-        if self.settings.refuse_late && latest >= now {
-            latest
-        } else {
-            deadline
-        }
+    fn start_by(&self, now: Duration, deadline: Duration, latest: Option<Duration>) -> Duration {
+        let in_time = latest.filter(|latest| self.settings.refuse_late && *latest >= now);
+        in_time.unwrap_or(deadline)
     }
 
     fn ages_at(&self, now: Duration, latest: Duration) -> Duration {
--- /dev/null
+++ b/crates/policy/tests/classes.rs
@@ -0,0 +1,206 @@
+//! Cases of path shapes and cost classes.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_policy::classes::{Class, Classes, Cost, Request, Settings};
+use masticdeal_policy::shape::write_shape;
+use proptest::prelude::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn req(path: &str) -> Request<'_> {
+    Request {
+        service: "library",
+        method: "GET",
+        path,
+        key_segment: None,
+    }
+}
+
+fn learn(classes: &mut Classes, path: &str, time: Duration, times: usize) -> Class {
+    for _ in 0..times {
+        let class = classes.classify(ms(0), req(path));
+        classes.record(ms(0), class.shape, time);
+    }
+    classes.classify(ms(0), req(path))
+}
+
+#[gtest]
+fn shapes_drop_what_varies() {
+    struct Case {
+        path: &'static str,
+        key: Option<usize>,
+        shape: &'static str,
+    }
+    let case = |path, key, shape| Case { path, key, shape };
+    let cases = [
+        case("/search/4711", None, "/search/*"),
+        case("/v1/search/list?name=a", None, "/v1/search/list"),
+        case("/doc/4711.pdf", None, "/doc/*.pdf"),
+        case("/doc/sheet.pdf", None, "/doc/sheet.pdf"),
+        case("/a/6f1c-22b9-aa/b", None, "/a/*/b"),
+        case("/a/averyveryverylongfreetextsegment", None, "/a/*"),
+        case("/name/caf%C3%A9", None, "/name/*"),
+        case("/search/smith/list", Some(2), "/search/*/list"),
+        case("//a//b/", None, "/a/b"),
+        case("/a/b/c/d/e/f/g/h/i/j", None, "/a/b/c/d/e/f/g/h/**"),
+        case("", None, ""),
+        case("/.hidden", None, "/*"),
+    ];
+    for Case { path, key, shape } in cases {
+        let mut written = String::new();
+        write_shape(path, key, &mut written);
+        expect_that!(written, eq(shape), "{path}");
+    }
+}
+
+#[gtest]
+fn long_shapes_are_told_by_the_mix_of_their_service() {
+    let mut classes = Classes::new(Settings::default());
+    learn(&mut classes, "/list", ms(10), 200);
+    let slides = learn(&mut classes, "/slides/1.pptx", ms(1000), 10);
+    expect_that!(slides.cost, eq(Cost::Long));
+    expect_that!(classes.classify(ms(0), req("/list")).cost, eq(Cost::Short));
+    expect_that!(slides.expected.unwrap().mean, eq(ms(1000)));
+    // The same time is ordinary in a service where everything takes as long.
+    for _ in 0..20 {
+        let request = Request {
+            service: "archive",
+            ..req("/slides/1.pptx")
+        };
+        let class = classes.classify(ms(0), request);
+        expect_that!(class.cost, eq(Cost::Short));
+        classes.record(ms(0), class.shape, ms(1000));
+    }
+}
+
+#[gtest]
+fn class_changes_only_beyond_the_band() {
+    // Guards against a shape at the boundary that flips with every sample.
+    let settings = Settings {
+        smoothing: 1.0,
+        ..Settings::default()
+    };
+    let mut classes = Classes::new(settings);
+    learn(&mut classes, "/list", ms(10), 200);
+    let cost_after = |classes: &mut Classes, time| learn(classes, "/mid", ms(time), 4).cost;
+    expect_that!(cost_after(&mut classes, 80), eq(Cost::Short));
+    expect_that!(cost_after(&mut classes, 110), eq(Cost::Long));
+    expect_that!(cost_after(&mut classes, 80), eq(Cost::Long));
+    expect_that!(cost_after(&mut classes, 60), eq(Cost::Long));
+    expect_that!(cost_after(&mut classes, 40), eq(Cost::Short));
+}
+
+#[gtest]
+fn unknown_shape_is_short_until_one_of_its_requests_runs_long() {
+    let mut classes = Classes::new(Settings::default());
+    learn(&mut classes, "/list", ms(10), 20);
+    let class = classes.classify(ms(0), req("/export/all"));
+    expect_that!(class.cost, eq(Cost::Short));
+    expect_that!(class.expected, none());
+    expect_that!(classes.note_running(class.shape, ms(90)), eq(Cost::Short));
+    expect_that!(classes.note_running(class.shape, ms(110)), eq(Cost::Long));
+    let next = classes.classify(ms(0), req("/export/all"));
+    expect_that!(next.cost, eq(Cost::Long));
+}
+
+#[gtest]
+fn unknown_shape_counts_like_its_siblings() {
+    // Guards against downloads under names that all start as short work.
+    let names = ["anna", "bela", "cem", "duc", "eda", "fatih"];
+    for siblings in [true, false] {
+        let mut classes = Classes::new(Settings {
+            siblings,
+            ..Settings::default()
+        });
+        learn(&mut classes, "/list", ms(10), 100);
+        for name in names {
+            learn(&mut classes, &format!("/slides/{name}"), ms(1000), 1);
+        }
+        let class = classes.classify(ms(0), req("/slides/never"));
+        let expected = if siblings { Cost::Long } else { Cost::Short };
+        expect_that!(class.cost, eq(expected));
+    }
+}
+
+#[gtest]
+fn one_long_sibling_does_not_mark_the_others() {
+    // Guards against a directory of lists that turns long through its one export.
+    let mut classes = Classes::new(Settings::default());
+    for (at, name) in ["anna", "bela", "cem", "duc", "eda"].iter().enumerate() {
+        let time = if at == 2 { ms(60_000) } else { ms(10) };
+        learn(&mut classes, &format!("/rooms/{name}"), time, 6);
+    }
+    let class = classes.classify(ms(0), req("/rooms/never"));
+    expect_that!(class.cost, eq(Cost::Short));
+}
+
+#[gtest]
+fn an_old_estimate_predicts_nothing() {
+    // Guards against a shape that is refused for an expected time it no longer has.
+    let mut classes = Classes::new(Settings::default());
+    let class = learn(&mut classes, "/list", ms(10), 20);
+    expect_that!(class.expected, some(anything()));
+    let later = Duration::from_secs(16);
+    expect_that!(classes.classify(later, req("/list")).expected, none());
+}
+
+#[gtest]
+fn shapes_seen_once_do_not_evict_those_in_use() {
+    // Guards against a scan of random paths that makes the table forget the real ones.
+    let settings = Settings {
+        capacity: 16,
+        ..Settings::default()
+    };
+    let mut classes = Classes::new(settings);
+    let used = learn(&mut classes, "/list", ms(10), 50);
+    for at in 0..2000u32 {
+        let letter = |n: u32| char::from(b'a' + (n % 26) as u8);
+        let path = format!("/{}{}{}", letter(at), letter(at / 26), letter(at / 676));
+        let class = classes.classify(ms(0), req(&path));
+        classes.record(ms(0), class.shape, ms(10));
+        if at % 20 == 0 {
+            learn(&mut classes, "/list", ms(10), 1);
+        }
+    }
+    expect_that!(classes.len(), le(16));
+    expect_that!(classes.cost(used.shape), some(eq(Cost::Short)));
+}
+
+#[gtest]
+fn handle_of_an_evicted_shape_is_ignored() {
+    let settings = Settings {
+        capacity: 1,
+        siblings: false,
+        ..Settings::default()
+    };
+    let mut classes = Classes::new(settings);
+    let first = classes.classify(ms(0), req("/a"));
+    let second = classes.classify(ms(0), req("/b"));
+    classes.record(ms(0), first.shape, ms(1000));
+    expect_that!(classes.cost(first.shape), none());
+    expect_that!(classes.expected(ms(0), second.shape), none());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against paths that panic, and tables that grow with what callers send.
+    #[test]
+    fn any_path_fits_the_table(paths in prop::collection::vec(any::<String>(), 1..60)) {
+        let mut classes = Classes::new(Settings { capacity: 8, ..Settings::default() });
+        for (at, path) in paths.iter().enumerate() {
+            let class = classes.classify(ms(at as u64), req(path));
+            classes.record(ms(at as u64), class.shape, ms(at as u64 % 50));
+            prop_assert!(classes.len() <= 8);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,302 @@
+//! Cases of the owner's queue.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_policy::Verdict;
+use masticdeal_policy::classes::{Classes, Cost, Expected, Request, Settings as ClassSettings};
+use masticdeal_policy::limit::{self, Limit};
+use masticdeal_policy::queue::{Cancelled, Permit, Queue, Reason, Settings, Ticket};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn queue(settings: Settings, slots: usize) -> Queue<u32> {
+    Queue::new(settings, Limit::new(limit::Settings::default(), slots))
+}
+
+fn ticket(cost: Cost, mean: Duration, deadline: Duration) -> Ticket {
+    Ticket {
+        cost,
+        shape: None,
+        expected: Some(Expected { mean, most: mean }),
+        deadline,
+    }
+}
+
+fn start_all(queue: &mut Queue<u32>, now: Duration) -> Vec<(u32, Permit)> {
+    std::iter::from_fn(|| queue.pop(now)).collect()
+}
+
+#[gtest]
+fn long_part_leaves_each_class_a_place() {
+    // Guards against a share that rounds to nothing or to everything.
+    struct Case {
+        share: f64,
+        slots: usize,
+        long: usize,
+    }
+    let case = |share, slots, long| Case { share, slots, long };
+    let cases = [
+        case(0.5, 6, 3),
+        case(0.5, 9, 4),
+        case(0.8, 6, 4),
+        case(0.8, 9, 7),
+        case(0.01, 6, 1),
+        case(1.0, 6, 5),
+        case(0.5, 2, 1),
+        case(0.5, 1, 1),
+        case(0.5, 0, 0),
+    ];
+    for Case { share, slots, long } in cases {
+        let settings = Settings {
+            long_share: Some(share),
+            ..Settings::default()
+        };
+        expect_that!(settings.long_part(slots), eq(long), "{share} of {slots}");
+    }
+}
+
+#[gtest]
+fn admission_refuses_what_cannot_meet_its_deadline() {
+    // One slot is busy for 100 ms. A request of 50 ms fits a deadline of 400 ms, and not one of
+    // 140 ms; with one of 180 ms it would wait more than half of its time.
+    struct Case {
+        deadline: Duration,
+        admitted: bool,
+    }
+    let cases = [
+        (ms(400), true),
+        (ms(140), false),
+        (ms(180), false),
+        (ms(0), false),
+    ];
+    for Case { deadline, admitted } in cases.map(|(deadline, admitted)| Case { deadline, admitted })
+    {
+        let mut queue = queue(Settings::default(), 1);
+        let now = ms(1000);
+        let busy = ticket(Cost::Short, ms(100), now + ms(1000));
+        queue.push(now, busy, 0).unwrap();
+        let _running = start_all(&mut queue, now);
+        let pushed = queue.push(now, ticket(Cost::Short, ms(50), now + deadline), 1);
+        expect_that!(pushed.is_ok(), eq(admitted), "{deadline:?}");
+        if let Err(refused) = pushed {
+            expect_that!(refused.refusal.verdict(), eq(Verdict::NotRun));
+            expect_that!(refused.refusal.retry_after, ge(ms(10)));
+        }
+    }
+}
+
+#[gtest]
+fn retry_after_is_enough_for_admission() {
+    // Guards against advice that sends the caller back too early when nothing else arrives.
+    let mut queue = queue(Settings::default(), 2);
+    let now = ms(1000);
+    let request = |now| ticket(Cost::Short, ms(100), now + ms(500));
+    let refused = loop {
+        match queue.push(now, request(now), 0) {
+            Ok(_) => {}
+            Err(refused) => break refused,
+        }
+    };
+    expect_that!(refused.refusal.reason, eq(Reason::TooLate));
+    let later = now + refused.refusal.retry_after;
+    let mut now = now;
+    let mut running = start_all(&mut queue, now);
+    while now + ms(100) <= later {
+        now += ms(100);
+        for (_, permit) in running.drain(..) {
+            queue.finish(now, permit, Some(ms(100)));
+        }
+        running = start_all(&mut queue, now);
+    }
+    expect_that!(queue.push(later, request(later), 1).is_ok(), eq(true));
+}
+
+#[gtest]
+fn an_expected_time_beyond_the_deadline_is_still_tried_once() {
+    // Guards against a shape that was slow once being refused for good.
+    let mut queue = queue(Settings::default(), 6);
+    let slow = ticket(Cost::Short, ms(5000), ms(500));
+    expect_that!(queue.push(ms(0), slow, 0).is_ok(), eq(true));
+    let started = start_all(&mut queue, ms(100));
+    expect_that!(started.len(), eq(1));
+    let second = queue.push(ms(100), slow, 1).map_err(|r| r.refusal.reason);
+    expect_that!(second, err(eq(Reason::TooLate)));
+}
+
+#[gtest]
+fn entries_past_their_deadline_come_back_as_not_run() {
+    let settings = Settings {
+        refuse_late: false,
+        ..Settings::default()
+    };
+    let mut queue = queue(settings, 1);
+    for item in 0..3 {
+        let deadline = ms(100 + 100 * u64::from(item));
+        queue
+            .push(ms(0), ticket(Cost::Short, ms(10), deadline), item)
+            .unwrap();
+    }
+    let _running = start_all(&mut queue, ms(0));
+    let expired: Vec<u32> = queue.expire(ms(250)).iter().map(|r| r.item).collect();
+    expect_that!(expired, elements_are![eq(&1)]);
+    let expired = queue.expire(ms(301));
+    expect_that!(expired.len(), eq(1));
+    expect_that!(expired[0].refusal.reason, eq(Reason::DeadlinePassed));
+    expect_that!(queue.expire(ms(400)).len(), eq(0));
+}
+
+#[gtest]
+fn full_queue_keeps_a_place_for_each_class() {
+    // Guards against long work that fills the queue and so turns short work away, and the reverse.
+    for (first, other) in [(Cost::Short, Cost::Long), (Cost::Long, Cost::Short)] {
+        let settings = Settings {
+            length: 10,
+            refuse_late: false,
+            ..Settings::default()
+        };
+        let mut queue = queue(settings, 0);
+        let request = |cost| ticket(cost, ms(1), ms(60_000));
+        let refused = (0..20).filter(|i| queue.push(ms(0), request(first), *i).is_err());
+        expect_that!(refused.count(), gt(0));
+        expect_that!(queue.push(ms(0), request(other), 99).is_ok(), eq(true));
+    }
+}
+
+#[gtest]
+fn drain_starts_queued_work_only_until_its_limit() {
+    // Guards against new work at a target that is leaving, and against queued work that hangs.
+    let mut queue = queue(Settings::default(), 1);
+    for item in 0..3 {
+        queue
+            .push(ms(0), ticket(Cost::Short, ms(10), ms(60_000)), item)
+            .unwrap();
+    }
+    let (_, permit) = queue.pop(ms(0)).unwrap();
+    queue.drain(ms(1800));
+    let refused = queue.push(ms(10), ticket(Cost::Short, ms(10), ms(60_000)), 9);
+    expect_that!(refused.unwrap_err().refusal.reason, eq(Reason::Draining));
+    queue.finish(ms(1000), permit, Some(ms(1000)));
+    let (_, permit) = queue.pop(ms(1000)).unwrap();
+    queue.finish(ms(1800), permit, Some(ms(800)));
+    expect_that!(queue.pop(ms(1800)).is_none(), eq(true));
+    let back = queue.expire(ms(1800));
+    expect_that!(back.len(), eq(1));
+    expect_that!(back[0].refusal.reason, eq(Reason::Draining));
+    expect_that!(queue.is_idle(), eq(true));
+}
+
+#[gtest]
+fn a_running_request_beyond_the_bound_counts_as_long() {
+    // Guards against unknown long work that takes every slot before its shape is known.
+    let mut classes = Classes::new(ClassSettings::default());
+    let req = |path| Request {
+        service: "library",
+        method: "GET",
+        path,
+        key_segment: None,
+    };
+    for _ in 0..20 {
+        let class = classes.classify(ms(0), req("/list"));
+        classes.record(ms(0), class.shape, ms(10));
+    }
+    let mut queue = queue(Settings::default(), 6);
+    let push = |queue: &mut Queue<u32>, classes: &mut Classes, now, item| {
+        let class = classes.classify(now, req("/slides/1.pptx"));
+        queue
+            .push(now, Ticket::new(class, now + ms(10_000)), item)
+            .unwrap();
+        class.cost
+    };
+    expect_that!(push(&mut queue, &mut classes, ms(0), 0), eq(Cost::Short));
+    let _first = start_all(&mut queue, ms(0));
+    expect_that!(queue.next_event(ms(0)).is_none(), eq(true));
+    queue.review(ms(50), &mut classes);
+    expect_that!(queue.long_running(), eq(0));
+    // The bound is ten times the 10 ms of the list.
+    expect_that!(queue.next_event(ms(50)), some(eq(ms(100))));
+    queue.review(ms(101), &mut classes);
+    expect_that!(queue.long_running(), eq(1));
+    expect_that!(push(&mut queue, &mut classes, ms(101), 1), eq(Cost::Long));
+}
+
+#[gtest]
+fn waiting_work_follows_its_shape_to_the_other_class() {
+    let mut classes = Classes::new(ClassSettings::default());
+    let req = |path| Request {
+        service: "library",
+        method: "GET",
+        path,
+        key_segment: None,
+    };
+    for _ in 0..20 {
+        let class = classes.classify(ms(0), req("/list"));
+        classes.record(ms(0), class.shape, ms(10));
+    }
+    let settings = Settings {
+        long_share: Some(0.5),
+        ..Settings::default()
+    };
+    let mut queue = queue(settings, 2);
+    for item in 0..5 {
+        let class = classes.classify(ms(0), req("/slides/1.pptx"));
+        queue
+            .push(ms(0), Ticket::new(class, ms(60_000)), item)
+            .unwrap();
+    }
+    let mut running = start_all(&mut queue, ms(0));
+    expect_that!(running.len(), eq(2));
+    queue.review(ms(200), &mut classes);
+    queue.finish(ms(200), running.remove(0).1, None);
+    // One long request still runs, which is the whole share of the two slots.
+    expect_that!(queue.pop(ms(200)).is_none(), eq(true));
+    let class = classes.classify(ms(200), req("/list"));
+    queue
+        .push(ms(200), Ticket::new(class, ms(60_000)), 9)
+        .unwrap();
+    expect_that!(queue.pop(ms(200)).map(|(item, _)| item), some(eq(9)));
+}
+
+#[gtest]
+fn cancel_finds_the_request_where_it_is() {
+    let mut queue = queue(Settings::default(), 1);
+    let request = ticket(Cost::Short, ms(10), ms(60_000));
+    let first = queue.push(ms(0), request, 0).unwrap();
+    let second = queue.push(ms(0), request, 1).unwrap();
+    let (_, permit) = queue.pop(ms(0)).unwrap();
+    expect_that!(queue.cancel(first), eq(&Cancelled::Running));
+    expect_that!(queue.cancel(second), eq(&Cancelled::Waiting(1)));
+    expect_that!(queue.cancel(second), eq(&Cancelled::Unknown));
+    queue.finish(ms(5), permit, None);
+    expect_that!(queue.cancel(first), eq(&Cancelled::Unknown));
+}
+
+#[gtest]
+fn limit_ramps_falls_and_recovers() {
+    // Guards against a cold target that is hit at full load, and a limit that never comes back.
+    let mut limit = Limit::new(limit::Settings::default(), 9);
+    expect_that!(limit.slots(ms(0)), eq(9));
+    limit.start_cold(ms(1000));
+    expect_that!(limit.slots(ms(1000)), eq(1));
+    expect_that!(limit.slots(ms(2000)), eq(3));
+    expect_that!(limit.slots(ms(4000)), eq(9));
+    limit.reduce(ms(5000));
+    expect_that!(limit.slots(ms(5000)), eq(6));
+    limit.reduce(ms(5050));
+    expect_that!(
+        limit.slots(ms(5050)),
+        eq(6),
+        "one burst of refusals counts once"
+    );
+    limit.reduce(ms(5200));
+    expect_that!(limit.slots(ms(5200)), eq(4));
+    expect_that!(limit.slots(ms(10_200)), eq(9));
+    for at in 0..50 {
+        limit.reduce(ms(20_000 + 100 * at));
+    }
+    expect_that!(limit.slots(ms(25_000)), ge(1));
+    limit.announce(0);
+    expect_that!(limit.slots(ms(25_000)), eq(0));
+}
--- /dev/null
+++ b/crates/policy/tests/queue_states.rs
@@ -0,0 +1,290 @@
+//! Random sequences of queue operations. The queue's verifier runs inside every step in debug
+//! builds; the tests call it as well and follow each ticket to its end.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_policy::classes::{Classes, Cost, Expected, Request, Settings as ClassSettings};
+use masticdeal_policy::limit::{self, Limit};
+use masticdeal_policy::queue::{
+    Cancelled, Order, Permit, Queue, Settings, Ticket, TicketId, verify,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+#[derive(Debug, Clone)]
+enum Step {
+    Push {
+        path: usize,
+        cost: Option<Cost>,
+        deadline_ms: u64,
+    },
+    Pop,
+    Finish {
+        which: usize,
+        timed: bool,
+    },
+    Cancel {
+        which: usize,
+    },
+    Wait(u64),
+    Review,
+    Expire,
+    Slots(usize),
+    Cold,
+    Shed,
+    Drain(u64),
+    Resume,
+}
+
+const PATHS: [&str; 3] = ["/list", "/search/9", "/slides/9.pptx"];
+
+fn step() -> impl Strategy<Value = Step> {
+    let cost = prop_oneof![Just(None), Just(Some(Cost::Short)), Just(Some(Cost::Long))];
+    let push = (0..PATHS.len(), cost, 1..3000u64);
+    prop_oneof![
+        8 => push.prop_map(|(path, cost, deadline_ms)| Step::Push { path, cost, deadline_ms }),
+        8 => Just(Step::Pop),
+        6 => (0..64usize, any::<bool>()).prop_map(|(which, timed)| Step::Finish { which, timed }),
+        2 => (0..64usize).prop_map(|which| Step::Cancel { which }),
+        6 => (0..400u64).prop_map(Step::Wait),
+        3 => Just(Step::Review),
+        3 => Just(Step::Expire),
+        1 => (0..10usize).prop_map(Step::Slots),
+        1 => Just(Step::Cold),
+        1 => Just(Step::Shed),
+        1 => (0..500u64).prop_map(Step::Drain),
+        2 => Just(Step::Resume),
+    ]
+}
+
+fn settings() -> impl Strategy<Value = Settings> {
+    let share = prop_oneof![Just(None), (0.01..=1.0f64).prop_map(Some)];
+    let ageing = prop_oneof![Just(None), (0..600u64).prop_map(Some)];
+    let order = prop_oneof![Just(Order::ShortFirst), Just(Order::FirstCome)];
+    let flags = (any::<bool>(), any::<bool>());
+    (share, ageing, order, 0..20usize, 0.1..=1.0f64, flags).prop_map(
+        |(long_share, ageing, order, length, max_wait, (adapt_share, refuse_late))| Settings {
+            long_share,
+            adapt_share,
+            length,
+            ageing: ageing.map(Duration::from_millis),
+            order,
+            max_wait,
+            refuse_late,
+        },
+    )
+}
+
+/// The owner's view: what became of each admitted ticket.
+struct Owner {
+    now: Duration,
+    queue: Queue<u64>,
+    classes: Classes,
+    waiting: HashMap<u64, TicketId>,
+    running: Vec<(u64, Permit)>,
+    items: u64,
+    slots: usize,
+    settings: Settings,
+}
+
+impl Owner {
+    fn new(settings: Settings, slots: usize) -> Self {
+        Self {
+            now: Duration::from_secs(1),
+            queue: Queue::new(
+                settings.clone(),
+                Limit::new(limit::Settings::default(), slots),
+            ),
+            classes: Classes::new(ClassSettings::default()),
+            waiting: HashMap::new(),
+            running: Vec::new(),
+            items: 0,
+            slots,
+            settings,
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Push {
+                path,
+                cost,
+                deadline_ms,
+            } => self.push(path, cost, deadline_ms),
+            Step::Pop => self.pop(),
+            Step::Finish { which, timed } => self.finish(which, timed),
+            Step::Cancel { which } => self.cancel(which),
+            Step::Wait(ms) => self.now += Duration::from_millis(ms),
+            Step::Review => self.queue.review(self.now, &mut self.classes),
+            Step::Expire => self.expire(),
+            Step::Slots(slots) => {
+                self.slots = slots;
+                self.queue.set_slots(self.now, slots);
+            }
+            Step::Cold => self.queue.start_cold(self.now),
+            Step::Shed => self.queue.reduce(self.now),
+            Step::Drain(ms) => self.queue.drain(self.now + Duration::from_millis(ms)),
+            Step::Resume => self.queue.resume(),
+        }
+        verify(&self.queue).unwrap();
+        assert_eq!(self.queue.running(), self.running.len());
+        assert!(self.queue.waiting() <= self.settings.length);
+    }
+
+    fn push(&mut self, path: usize, cost: Option<Cost>, deadline_ms: u64) {
+        let req = Request {
+            service: "library",
+            method: "GET",
+            path: PATHS[path],
+            key_segment: None,
+        };
+        let class = self.classes.classify(self.now, req);
+        let deadline = self.now + Duration::from_millis(deadline_ms);
+        let mut ticket = Ticket::new(class, deadline);
+        ticket.cost = cost.unwrap_or(class.cost);
+        let item = self.items;
+        self.items += 1;
+        match self.queue.push(self.now, ticket, item) {
+            Ok(id) => assert!(self.waiting.insert(item, id).is_none()),
+            Err(refused) => assert_eq!(refused.item, item, "a refusal gives its own item back"),
+        }
+    }
+
+    fn pop(&mut self) {
+        let before = (self.queue.running(), self.queue.long_running());
+        let limits = (self.queue.slots(self.now), self.queue.long_limit(self.now));
+        let Some((item, permit)) = self.queue.pop(self.now) else {
+            return;
+        };
+        assert!(before.0 < limits.0, "started beyond the slots");
+        if self.queue.long_running() > before.1 {
+            assert!(before.1 < limits.1, "long work started beyond its share");
+        }
+        let id = self
+            .waiting
+            .remove(&item)
+            .expect("only waiting work starts");
+        assert_eq!(id, permit.id());
+        self.running.push((item, permit));
+    }
+
+    fn finish(&mut self, which: usize, timed: bool) {
+        if self.running.is_empty() {
+            return;
+        }
+        let (_, permit) = self.running.swap_remove(which % self.running.len());
+        let took = timed.then_some(Duration::from_millis(7));
+        self.queue.finish(self.now, permit, took);
+    }
+
+    fn cancel(&mut self, which: usize) {
+        let mut items: Vec<u64> = self.waiting.keys().copied().collect();
+        items.sort_unstable();
+        if let Some(&item) = items.get(which) {
+            let id = self.waiting[&item];
+            // A ticket that is set aside already comes back through `expire`.
+            if let Cancelled::Waiting(given) = self.queue.cancel(id) {
+                assert_eq!(given, item);
+                self.waiting.remove(&item);
+            }
+        }
+        if let Some((_, permit)) = self.running.get(which) {
+            assert_eq!(self.queue.cancel(permit.id()), Cancelled::Running);
+        }
+    }
+
+    fn expire(&mut self) {
+        for refused in self.queue.expire(self.now) {
+            let known = self.waiting.remove(&refused.item);
+            assert!(known.is_some(), "only waiting work is refused, and once");
+        }
+    }
+
+    /// Ends everything and checks that nothing is left over.
+    fn wind_up(&mut self) {
+        self.queue.drain(self.now);
+        self.now += Duration::from_secs(60);
+        self.expire();
+        while !self.running.is_empty() {
+            self.finish(0, false);
+        }
+        assert!(self.waiting.is_empty(), "lost: {:?}", self.waiting);
+        assert!(self.queue.is_idle());
+    }
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x9eed),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(600))]
+
+    /// Guards against lost and doubled tickets, too many running, and a share that is not held.
+    #[test]
+    fn no_ticket_is_lost_or_doubled(
+        settings in settings(),
+        slots in 0..10usize,
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let mut owner = Owner::new(settings, slots);
+        for step in &steps {
+            owner.apply(step);
+        }
+        owner.wind_up();
+    }
+
+}
+
+proptest! {
+    #![proptest_config(config(60))]
+
+    /// Guards against long work that starves behind short work: each long request starts within its
+    /// ageing time and one service time per place ahead, however much short work comes.
+    #[test]
+    fn long_work_starts_under_a_flood_of_short_work(
+        slots in 2..10usize,
+        share in 0.1..=1.0f64,
+        flood in 1..20usize,
+    ) {
+        let settings = Settings { long_share: Some(share), length: 30, ..Settings::default() };
+        let ageing = settings.ageing.unwrap();
+        let mut queue = Queue::new(settings, Limit::new(limit::Settings::default(), slots));
+        let ms = Duration::from_millis;
+        let mean = ms(10);
+        let ticket = |cost, now| Ticket {
+            cost,
+            shape: None,
+            expected: Some(Expected { mean, most: mean }),
+            deadline: now + Duration::from_secs(10),
+        };
+        let mut now = ms(0);
+        let mut running = Vec::new();
+        queue.push(now, ticket(Cost::Long, now), Cost::Long).unwrap();
+        let mut started = None;
+        while started.is_none() && now < Duration::from_secs(5) {
+            for _ in 0..flood {
+                let _ = queue.push(now, ticket(Cost::Short, now), Cost::Short);
+            }
+            while let Some((cost, permit)) = queue.pop(now) {
+                if cost == Cost::Long {
+                    started = Some(now);
+                }
+                running.push(permit);
+            }
+            now += mean;
+            for permit in running.drain(..) {
+                queue.finish(now, permit, Some(mean));
+            }
+        }
+        verify_that!(started, some(le(ageing + mean))).unwrap();
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,252 @@
+//! Cases of retries, deadlines and the drain chart.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_policy::deadline::{Deadline, Late, header_value, parse_header};
+use masticdeal_policy::drain::{Drain, Event, START_LIMIT, State};
+use masticdeal_policy::retry::{Budget, BudgetSettings, Decision, Failed, Settings, Why, decide};
+use masticdeal_policy::{Outcome, Verdict};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn failed() -> Failed {
+    Failed {
+        attempt: 1,
+        idempotent: true,
+        verdict: Verdict::MayHaveRun,
+        outcome: Outcome::TargetFault,
+        answer_begun: false,
+        deadline: Deadline::new(ms(0), Some(ms(1000)), ms(2000)),
+        expected: ms(50),
+        retry_after: None,
+    }
+}
+
+#[gtest]
+fn retry_follows_the_rules() {
+    struct Case {
+        failed: Failed,
+        decision: Decision,
+    }
+    let case = |failed, decision| Case { failed, decision };
+    let give_up = |why| Decision::GiveUp(why);
+    let once = Failed {
+        idempotent: false,
+        ..failed()
+    };
+    let cases = [
+        case(failed(), Decision::Retry(ms(5))),
+        // A request that may run only once is sent again only if it was not run.
+        case(once, give_up(Why::NotIdempotent)),
+        case(
+            Failed {
+                verdict: Verdict::Ran,
+                ..once
+            },
+            give_up(Why::NotIdempotent),
+        ),
+        case(
+            Failed {
+                verdict: Verdict::NotRun,
+                ..once
+            },
+            Decision::Retry(ms(5)),
+        ),
+        case(
+            Failed {
+                answer_begun: true,
+                ..failed()
+            },
+            give_up(Why::AnswerBegun),
+        ),
+        case(
+            Failed {
+                outcome: Outcome::CallerFault,
+                ..failed()
+            },
+            give_up(Why::Pointless),
+        ),
+        case(
+            Failed {
+                outcome: Outcome::Cancelled,
+                ..failed()
+            },
+            give_up(Why::Pointless),
+        ),
+        case(
+            Failed {
+                attempt: 3,
+                ..failed()
+            },
+            give_up(Why::Attempts),
+        ),
+        case(
+            Failed {
+                attempt: 2,
+                ..failed()
+            },
+            Decision::Retry(ms(10)),
+        ),
+        case(
+            Failed {
+                expected: ms(996),
+                ..failed()
+            },
+            give_up(Why::Deadline),
+        ),
+        case(
+            Failed {
+                retry_after: Some(ms(300)),
+                ..failed()
+            },
+            Decision::Retry(ms(300)),
+        ),
+        case(
+            Failed {
+                retry_after: Some(ms(960)),
+                ..failed()
+            },
+            give_up(Why::Deadline),
+        ),
+    ];
+    for Case { failed, decision } in cases {
+        let mut budget = Budget::new(ms(0), BudgetSettings::default());
+        let decided = decide(ms(0), &failed, &mut budget, &Settings::default(), 0.5);
+        expect_that!(decided, eq(decision), "{failed:?}");
+    }
+}
+
+#[gtest]
+fn retries_stay_below_the_budget_when_everything_fails() {
+    // Guards against retries that multiply the load of a service that fails as a whole.
+    struct Case {
+        share: f64,
+        requests: u64,
+        most: usize,
+    }
+    let cases = [(0.1, 10_000, 1022), (0.0, 10_000, 22), (0.5, 10_000, 5022)];
+    for Case {
+        share,
+        requests,
+        most,
+    } in cases.map(|(share, requests, most)| Case {
+        share,
+        requests,
+        most,
+    }) {
+        let settings = BudgetSettings {
+            share,
+            ..BudgetSettings::default()
+        };
+        let mut budget = Budget::new(ms(0), settings);
+        let mut retries = 0;
+        for at in 0..requests {
+            budget.deposit(ms(10 * at));
+            retries += usize::from(budget.withdraw(ms(10 * at)));
+        }
+        // The reserve adds 0.2 per second over the 100 s, and 2 at the start.
+        expect_that!(retries, le(most), "share {share}");
+        expect_that!(retries as f64, ge(0.9 * share * requests as f64));
+    }
+}
+
+#[gtest]
+fn quiet_time_saves_up_no_budget() {
+    let mut budget = Budget::new(ms(0), BudgetSettings::default());
+    for at in 0..10_000 {
+        budget.deposit(ms(at));
+    }
+    let later = ms(10_000) + Duration::from_secs(120);
+    let saved = (0..100).take_while(|_| budget.withdraw(later)).count();
+    expect_that!(saved, le(2));
+}
+
+#[gtest]
+fn empty_budget_takes_nothing_for_refused_retries() {
+    let mut budget = Budget::new(ms(0), BudgetSettings::default());
+    while budget.withdraw(ms(0)) {}
+    let decided = decide(ms(0), &failed(), &mut budget, &Settings::default(), 0.5);
+    expect_that!(decided, eq(Decision::GiveUp(Why::Budget)));
+    let decided = decide(
+        ms(10_000),
+        &failed(),
+        &mut budget,
+        &Settings::default(),
+        0.5,
+    );
+    expect_that!(decided, eq(Decision::GiveUp(Why::Deadline)));
+    expect_that!(budget.withdraw(ms(10_000)), eq(true));
+}
+
+#[gtest]
+fn deadline_shrinks_on_its_way() {
+    // Guards against a hop that grants itself more time than the caller gave.
+    let deadline = Deadline::new(ms(100), Some(ms(5000)), ms(2000));
+    expect_that!(deadline.instant(), eq(ms(2100)));
+    expect_that!(deadline.remaining(ms(600)), ok(eq(ms(1500))));
+    expect_that!(deadline.for_next_hop(ms(600), ms(2)), ok(eq(ms(1498))));
+    expect_that!(deadline.for_next_hop(ms(2099), ms(2)), err(eq(Late)));
+    expect_that!(deadline.remaining(ms(2100)), err(eq(Late)));
+    expect_that!(header_value(Duration::from_micros(1999)), eq(1));
+    for (text, parsed) in [
+        ("250", Some(ms(250))),
+        ("", None),
+        ("-1", None),
+        ("+1", None),
+        ("1.5", None),
+    ] {
+        expect_that!(parse_header(text), eq(parsed), "{text}");
+    }
+    expect_that!(parse_header("99999999999999999999"), none());
+}
+
+#[gtest]
+fn drain_chart_accepts_what_the_code_expects() {
+    // Steps every pair of state and event, so that a change of the chart shows here.
+    use Event::{Drain as Begin, Emptied, Return};
+    use State::{Draining, Serving, Stopped};
+    let paths: [(&[Event], State); 3] = [
+        (&[], Serving),
+        (&[Begin], Draining),
+        (&[Begin, Emptied], Stopped),
+    ];
+    let steps = [
+        (Serving, Begin, Some(Draining)),
+        (Serving, Emptied, None),
+        (Serving, Return, None),
+        (Draining, Begin, None),
+        (Draining, Emptied, Some(Stopped)),
+        (Draining, Return, Some(Serving)),
+        (Stopped, Begin, None),
+        (Stopped, Emptied, None),
+        (Stopped, Return, Some(Serving)),
+    ];
+    for (path, state) in paths {
+        for (_, event, next) in steps.iter().filter(|(from, ..)| *from == state) {
+            let mut drain = Drain::new(ms(0));
+            for event in path {
+                drain.handle(ms(0), *event).unwrap();
+            }
+            expect_that!(drain.accepted().contains(event), eq(next.is_some()));
+            let stepped = drain.handle(ms(1), *event);
+            expect_that!(stepped.ok(), eq(*next), "{state} {event}");
+            expect_that!(drain.state(), eq(next.unwrap_or(state)));
+        }
+    }
+}
+
+#[gtest]
+fn draining_target_starts_nothing_after_its_limit() {
+    let mut drain = Drain::new(ms(0));
+    expect_that!(drain.may_admit() && drain.may_start(ms(0)), eq(true));
+    drain.handle(ms(500), Event::Drain).unwrap();
+    expect_that!(drain.may_admit(), eq(false));
+    expect_that!(drain.may_start(ms(499) + START_LIMIT), eq(true));
+    expect_that!(drain.may_start(ms(500) + START_LIMIT), eq(false));
+    expect_that!(START_LIMIT, lt(ms(2000)));
+    drain.handle(ms(600), Event::Emptied).unwrap();
+    expect_that!(drain.may_start(ms(600)), eq(false));
+}
--- /dev/null
+++ b/crates/policy/tests/targets.rs
@@ -0,0 +1,262 @@
+//! Cases of the balancer and the ejector.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_policy::Outcome;
+use masticdeal_policy::balance::{self, Balancer, HINT_WEIGHT, Policy, TargetIx};
+use masticdeal_policy::eject::{self, Change, Counting, Ejector, Standing};
+use masticdeal_policy::outcome::Ending;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn balancer(targets: u32) -> Balancer {
+    let mut balancer = Balancer::new(balance::Settings::default());
+    for ix in 0..targets {
+        balancer.add(ms(0), TargetIx(ix), false);
+    }
+    balancer
+}
+
+/// Counts where `n` requests go when each ends at once after its target's latency.
+fn spread(balancer: &mut Balancer, from: Duration, n: usize, latency: &[Duration]) -> Vec<usize> {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut sent = vec![0; latency.len()];
+    let mut now = from;
+    for _ in 0..n {
+        let ix = balancer.choose(now, &mut rng).unwrap();
+        let request = balancer.start(now, ix);
+        balancer.finish(now + latency[ix.0 as usize], request, true);
+        sent[ix.0 as usize] += 1;
+        now += ms(1);
+    }
+    sent
+}
+
+#[gtest]
+fn faster_targets_receive_more() {
+    let mut balancer = balancer(3);
+    let sent = spread(&mut balancer, ms(0), 3000, &[ms(40), ms(20), ms(10)]);
+    expect_that!(sent[2], gt(sent[1]));
+    expect_that!(sent[1], gt(sent[0]));
+}
+
+#[gtest]
+fn frozen_target_gets_worse_without_an_answer() {
+    // Guards against a frozen target whose last samples still look good.
+    let mut balancer = balancer(2);
+    spread(&mut balancer, ms(0), 100, &[ms(10), ms(10)]);
+    let stuck = balancer.start(ms(1000), TargetIx(0));
+    let _busy = balancer.start(ms(1990), TargetIx(1));
+    let scores = [0, 1].map(|ix| balancer.own_score(ms(2000), TargetIx(ix)));
+    expect_that!(scores[0], gt(10.0 * scores[1]));
+    balancer.finish(ms(2000), stuck, false);
+}
+
+#[gtest]
+fn target_that_fails_fast_does_not_attract_requests() {
+    let mut balancer = balancer(2);
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut sent = [0; 2];
+    let mut now = ms(0);
+    for _ in 0..1000 {
+        let ix = balancer.choose(now, &mut rng).unwrap();
+        sent[ix.0 as usize] += 1;
+        let request = balancer.start(now, ix);
+        let failing = ix.0 == 0;
+        let took = if failing { ms(1) } else { ms(20) };
+        balancer.finish(now + took, request, !failing);
+        if failing {
+            balancer.fault(now + took, ix);
+        }
+        now += ms(20);
+    }
+    expect_that!(sent[0], lt(sent[1] / 10));
+}
+
+#[gtest]
+fn cold_target_ramps_up() {
+    let mut balancer = balancer(4);
+    spread(&mut balancer, ms(0), 400, &[ms(10); 4]);
+    balancer.add(ms(1000), TargetIx(3), true);
+    let early = spread(&mut balancer, ms(1000), 300, &[ms(10); 4])[3];
+    let late = spread(&mut balancer, ms(4500), 300, &[ms(10); 4])[3];
+    expect_that!(early, gt(0));
+    expect_that!(late, gt(2 * early));
+}
+
+#[gtest]
+fn baselines_stay_selectable() {
+    let policies = [
+        Policy::TwoChoices,
+        Policy::BestScore,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastOutstanding,
+        Policy::LowestReport,
+    ];
+    let mut rng = StdRng::seed_from_u64(1);
+    for policy in policies {
+        let settings = balance::Settings {
+            policy,
+            ..balance::Settings::default()
+        };
+        let mut balancer = Balancer::new(settings);
+        expect_that!(balancer.choose(ms(0), &mut rng), none());
+        balancer.add(ms(0), TargetIx(0), false);
+        balancer.add(ms(0), TargetIx(2), false);
+        let allowed = |ix: TargetIx| ix.0 != 0;
+        let chosen = balancer.choose_among(ms(0), &mut rng, allowed);
+        expect_that!(chosen, some(eq(TargetIx(2))));
+        balancer.remove(TargetIx(2));
+        expect_that!(balancer.choose(ms(0), &mut rng), some(eq(TargetIx(0))));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against reports that outweigh own measurements: of two targets, one whose own score
+    /// is worse by more than the hint's weight is never chosen, whatever both report and when.
+    #[test]
+    fn reports_never_outweigh_own_measurements(
+        latency in (1..200u64, 1..200u64),
+        loads in (0.0..=1.0f64, 0.0..=1.0f64),
+        outstanding in (0..6usize, 0..6usize),
+        wait in 0..20_000u64,
+        seed in any::<u64>(),
+    ) {
+        let mut balancer = balancer(2);
+        let cases = [(latency.0, outstanding.0), (latency.1, outstanding.1)];
+        let mut held = Vec::new();
+        for (ix, (latency, outstanding)) in (0..).map(TargetIx).zip(cases) {
+            for _ in 0..10 {
+                let sent = balancer.start(ms(0), ix);
+                balancer.finish(ms(latency), sent, true);
+            }
+            for _ in 0..outstanding {
+                held.push(balancer.start(ms(200), ix));
+            }
+        }
+        let now = ms(200 + wait);
+        balancer.report(now, TargetIx(0), loads.0);
+        balancer.report(now, TargetIx(1), loads.1);
+        let scores = [0, 1].map(|ix| balancer.own_score(now, TargetIx(ix)));
+        let chosen = balancer.choose(now, &mut StdRng::seed_from_u64(seed)).unwrap();
+        let other = scores[1 - chosen.0 as usize];
+        let own = scores[chosen.0 as usize];
+        prop_assert!(own <= other * (1.0 + HINT_WEIGHT) + 1e-9, "{own} against {other}");
+    }
+
+    /// Guards against a fault that all targets share emptying the service.
+    #[test]
+    fn ejected_targets_stay_within_their_share(
+        targets in 1..9usize,
+        share in 0.0..=1.0f64,
+        events in prop::collection::vec((0..9u32, 0..6usize, 0..800u64), 1..400),
+    ) {
+        let outcomes = [
+            Outcome::Success, Outcome::TargetFault, Outcome::Overload,
+            Outcome::CallerFault, Outcome::OwnFault, Outcome::Cancelled,
+        ];
+        for counting in [Counting::TargetFaults, Counting::AllErrors] {
+            let settings = eject::Settings {
+                max_ejected: share, counting, ..eject::Settings::default()
+            };
+            let mut ejector = Ejector::new(settings, targets);
+            let mut now = ms(0);
+            for &(ix, outcome, wait) in &events {
+                now += ms(wait);
+                let ix = TargetIx(ix % targets as u32);
+                if ejector.standing(now, ix) == Standing::Probe {
+                    ejector.begin_probe(now, ix);
+                }
+                ejector.record(now, ix, outcomes[outcome]);
+                prop_assert!(ejector.ejected() as f64 <= targets as f64 * share);
+            }
+        }
+    }
+}
+
+#[gtest]
+fn only_faults_of_the_target_eject_it() {
+    let endings = [
+        (Ending::Status(200), false),
+        (Ending::Status(404), false),
+        (Ending::Status(429), false),
+        (Ending::Status(500), true),
+        (Ending::Status(503), true),
+        (Ending::Shed, false),
+        (Ending::NoConnection, true),
+        (Ending::ConnectionLost, true),
+        (Ending::BadAnswer, true),
+        (Ending::DeadlinePassed { fair: true }, true),
+        (Ending::DeadlinePassed { fair: false }, false),
+        (Ending::CallerGone, false),
+        (Ending::PeerFailed, false),
+        (Ending::StaleGrant, false),
+    ];
+    for (ending, ejects) in endings {
+        let mut ejector = Ejector::new(eject::Settings::default(), 3);
+        for at in 0..50 {
+            ejector.record(ms(at), TargetIx(0), ending.outcome());
+        }
+        expect_that!(ejector.ejected() == 1, eq(ejects), "{ending:?}");
+    }
+}
+
+#[gtest]
+fn ejected_target_returns_through_probes_and_is_out_longer_each_time() {
+    let mut ejector = Ejector::new(eject::Settings::default(), 3);
+    let target = TargetIx(1);
+    let mut now = ms(0);
+    let mut lengths = Vec::new();
+    for _ in 0..3 {
+        let until = loop {
+            if let Some(Change::Ejected(until)) = ejector.record(now, target, Outcome::TargetFault)
+            {
+                break until;
+            }
+        };
+        lengths.push((until - now).as_secs());
+        expect_that!(ejector.standing(until - ms(1), target), eq(Standing::Out));
+        now = until;
+        for last in [false, false, true] {
+            expect_that!(ejector.standing(now, target), eq(Standing::Probe));
+            ejector.begin_probe(now, target);
+            expect_that!(
+                ejector.standing(now, target),
+                eq(Standing::Out),
+                "one probe at a time"
+            );
+            let change = ejector.record(now, target, Outcome::Success);
+            expect_that!(change, eq(last.then_some(Change::Returned)));
+        }
+        expect_that!(ejector.standing(now, target), eq(Standing::In));
+    }
+    expect_that!(lengths, elements_are![eq(&2), eq(&4), eq(&8)]);
+}
+
+#[gtest]
+fn lost_probe_does_not_keep_a_target_out_for_good() {
+    let mut ejector = Ejector::new(eject::Settings::default(), 3);
+    for _ in 0..5 {
+        ejector.record(ms(0), TargetIx(0), Outcome::TargetFault);
+    }
+    ejector.begin_probe(ms(2000), TargetIx(0));
+    expect_that!(ejector.standing(ms(10_000), TargetIx(0)), eq(Standing::Out));
+    expect_that!(
+        ejector.standing(ms(40_000), TargetIx(0)),
+        eq(Standing::Probe)
+    );
+}
