--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -147,7 +147,6 @@
         self.optional_address(key, into);
     }
 
-    /// Reads an address if it is given, and returns whether it was read.
     /// Reads a list of addresses; a missing key leaves the list as it is.
     pub(crate) fn addresses(&mut self, key: &str, into: &mut Vec<SocketAddr>) {
         let Some(entry) = self.entry(key) else {
@@ -162,6 +161,7 @@
         }
     }
 
+    /// Reads an address if it is given, and returns whether it was read.
     pub(crate) fn optional_address(&mut self, key: &str, into: &mut SocketAddr) -> bool {
         let Some(entry) = self.entry(key) else {
             return false;
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -17,7 +17,7 @@
 
 use super::Control;
 use super::table_store::Swapped;
-use crate::operators::from_delta;
+use crate::operators::{from_delta, learned};
 
 /// Longest sleep of the driver when the core asks for no earlier tick.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
@@ -126,6 +126,10 @@
             self.record_deltas(&before, deltas);
         } else {
             history.clear();
+            let config = self.node.deployment.borrow().0;
+            let entries = learned::table(&before, table, config, super::unix_ms());
+            let mut journal = self.journal.lock().unwrap();
+            entries.into_iter().for_each(|entry| journal.record(entry));
         }
         require(checker::check_table(table));
         require(checker::check_step(&before, table));
--- a/crates/daemon/src/control/port.rs
+++ b/crates/daemon/src/control/port.rs
@@ -16,6 +16,7 @@
 use masticdeal_config::deployment::Deployment;
 use masticdeal_config::diff;
 use masticdeal_config::fault::Fault;
+use masticdeal_language::header_text;
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::ConfigValue;
@@ -43,6 +44,9 @@
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Author of a command whose tool sent no name.
+const UNNAMED: &str = "an operator without a name";
+
 /// Header that carries the subject of the last question.
 const SUBJECT: &str = "x-masticdeal-subject";
 
@@ -160,8 +164,8 @@
         let answer = match self.reply(line, &census, last.as_ref()) {
             Reply::Answer(answer) => answer,
             Reply::Command(command) => {
-                let author = header(map, headers::AUTHOR).unwrap_or("unnamed operator");
-                let outcome = self.run_command(&command, author).await;
+                let author = author(map).unwrap_or_else(|| UNNAMED.into());
+                let outcome = self.run_command(&command, &author).await;
                 command.answer(&outcome)
             }
         };
@@ -224,12 +228,15 @@
                 "x-change-id is missing or not a number\n",
             );
         };
-        let Some(author) = header(map, headers::AUTHOR) else {
-            return text(StatusCode::BAD_REQUEST, "x-author is missing\n");
+        let Some(author) = author(map) else {
+            return text(
+                StatusCode::BAD_REQUEST,
+                "x-author is missing or malformed\n",
+            );
         };
         let proposal = Proposal {
             expect,
-            author: author.into(),
+            author,
             time_ms: super::unix_ms(),
             change_id,
             text: body,
@@ -281,6 +288,11 @@
     map.get(name)?.to_str().ok()
 }
 
+/// Returns the author's name, which travels percent-encoded.
+fn author(map: &HeaderMap) -> Option<String> {
+    header_text::decode(header(map, headers::AUTHOR)?)
+}
+
 fn number(map: &HeaderMap, name: &str) -> Option<u64> {
     header(map, name)?.parse().ok()
 }
@@ -310,7 +322,7 @@
     let map = out.headers_mut();
     map.insert(headers::CHANGE_ID, current.change_id.into());
     map.insert(TIME_MS, current.time_ms.into());
-    if let Ok(author) = HeaderValue::from_str(&current.author) {
+    if let Ok(author) = HeaderValue::from_str(&header_text::encode(&current.author)) {
         map.insert(headers::AUTHOR, author);
     }
     out
--- a/crates/daemon/src/control/target.rs
+++ b/crates/daemon/src/control/target.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use masticdeal_config::deployment::Deployment;
 use masticdeal_ownership::lease::{Declared, Event, TargetReport};
 use masticdeal_ownership::table::TargetState;
 use masticdeal_wire::target::{Announce, AnnouncedState};
 
 use super::Control;
+use crate::operators::learned;
 
 /// Time between two looks at the measured capacity.
 const MEASURE: Duration = Duration::from_secs(60);
@@ -43,22 +45,32 @@
     /// Declares the services of each new configuration to the core, until the task is dropped.
     pub async fn follow_services(self: Arc<Self>) {
         let mut deployment = self.node.deployment.subscribe();
+        let mut before = Arc::<Deployment>::default();
         loop {
-            let declared = {
-                let current = deployment.borrow_and_update();
-                let services = current.1.services.iter().map(|s| Declared {
-                    name: s.name.clone(),
-                    shards: s.shards,
-                });
-                services.collect()
-            };
-            self.feed(Event::ServicesDeclared(declared));
+            let (_, current) = deployment.borrow_and_update().clone();
+            let services = current.services.iter().map(|s| Declared {
+                name: s.name.clone(),
+                shards: s.shards,
+            });
+            self.feed(Event::ServicesDeclared(services.collect()));
+            self.record_config(&before, &current);
+            before = current;
             if deployment.changed().await.is_err() {
                 return;
             }
         }
     }
 
+    fn record_config(&self, before: &Deployment, current: &Deployment) {
+        let value = self.config.current();
+        if value.revision == 0 {
+            return;
+        }
+        let table = self.node.table.borrow().version;
+        let entry = learned::config(before, current, &value, table, super::unix_ms());
+        self.journal.lock().unwrap().record(entry);
+    }
+
     /// Returns whether an operator took this VM away.
     pub(super) fn is_away(&self) -> bool {
         let deployment = self.node.deployment.borrow();
--- a/crates/daemon/src/operators/facts.rs
+++ b/crates/daemon/src/operators/facts.rs
@@ -149,12 +149,13 @@
         self.table.sessions.iter().filter(belongs)
     }
 
-    /// Returns the number of targets of a service that take no new work.
+    /// Returns the number of targets of a service that take no new work, or will not once the
+    /// newest configuration has reached them.
     pub fn away_count(&self, service: &str) -> usize {
         let away = |s: &&Session| {
-            s.target
-                .as_ref()
-                .is_some_and(|t| t.state != TargetState::Ready)
+            let leaves = self.deployment.rules.away.contains(&s.vm);
+            let state = s.target.as_ref().map(|t| t.state);
+            leaves || state.is_some_and(|state| state != TargetState::Ready)
         };
         self.targets_of(service).filter(away).count()
     }
