Let the tree bring deltas before a watch, and spread idle shards

Cause: a watch brought the whole table before the tree brought the delta, so watchers lost the deltas and the reasons of moves; shards without load were not planned, so a target that returned owned nothing until it had load. Change: a watched table is used 200 ms later; every shard counts as a small load; rounds every 5 s with 8 moves.

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -92,7 +92,7 @@
     fn default() -> Self {
         Self {
             max_draining: 1,
-            moves_per_round: 4,
+            moves_per_round: 8,
             imbalance_tolerance: 0.15,
             away: Vec::new(),
         }
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -17,7 +17,11 @@
 use super::census::Heard;
 
 /// Least time between two rounds.
-const ROUND: Duration = Duration::from_secs(10);
+const ROUND: Duration = Duration::from_secs(5);
+
+/// Requests per second that every shard counts as having, so that shards without load are spread
+/// evenly as well and a returning target gets its share before the load comes.
+const BASE_RATE: f64 = 0.01;
 
 /// Daemons that the planner asks per second at the most; more daemons make the rounds longer, so
 /// that the planner's traffic does not grow with the fleet.
@@ -106,7 +110,7 @@
 /// Puts the reports of all daemons together.
 fn loads(table: &Table, census: &HashMap<SessionId, Heard>) -> Loads {
     let empty = |service: &Service| ServiceLoad {
-        shards: vec![0.0; service.shards.len()],
+        shards: vec![BASE_RATE; service.shards.len()],
         hot: Vec::new(),
     };
     let mut services: Vec<ServiceLoad> = table.services.iter().map(empty).collect();
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -21,6 +21,10 @@
 /// Longest wait of one watch.
 const WAIT: Duration = Duration::from_secs(30);
 
+/// Time that the tree of peers has to bring the same news. A whole table from a watch carries no
+/// deltas and no reasons, so it is only used when the tree failed.
+const TREE_LEAD: Duration = Duration::from_millis(200);
+
 /// Pause after a failed watch.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -65,7 +69,10 @@
             let after = self.tables.revision();
             match platform.watch(KEY_TABLE, after, WAIT).await {
                 Ok(None) => {}
-                Ok(Some(value)) => self.learn_watched(&value),
+                Ok(Some(value)) => {
+                    tokio::time::sleep(TREE_LEAD).await;
+                    self.learn_watched(&value);
+                }
                 Err(e) => {
                     log::warn!("watch of the table failed: {e}");
                     tokio::time::sleep(RETRY).await;
