--- a/crates/ownership/examples/recovery.rs
+++ b/crates/ownership/examples/recovery.rs
@@ -198,29 +198,33 @@
 }
 
 fn fleet(seeds: u64) {
-    println!(
-        "vms,shards,runs,median_ms,p99_ms,worst_ms,unrecovered,writes_per_loss,conflicts_per_loss"
-    );
-    for vms in [9, 18, 36, 72] {
+    println!("vms,shards,runs,median_ms,p99_ms,worst_ms,unrecovered,writes,conflicts,reads");
+    for vms in [9, 18, 36, 72, 144] {
         let shards = 1024;
         let (mut times, mut open) = (Vec::new(), 0);
-        let (mut writes, mut conflicts) = (0, 0);
+        let (mut writes, mut conflicts, mut reads) = (0, 0, 0);
         for seed in 0..seeds {
             let mut world = steady(vms, shards, CoreSettings::default(), seed);
             let lost = victims(&mut world, Loss::DataCentre);
-            let before = (world.platform.writes, world.platform.conflicts);
+            let before = (
+                world.platform.writes,
+                world.platform.conflicts,
+                world.platform.reads,
+            );
             match recover(&mut world, &lost, shards as usize) {
                 Some(time) => times.push(time),
                 None => open += 1,
             }
             writes += world.platform.writes - before.0;
             conflicts += world.platform.conflicts - before.1;
+            reads += world.platform.reads - before.2;
         }
         println!(
-            "{vms},{shards},{seeds},{},{open},{:.1},{:.1}",
+            "{vms},{shards},{seeds},{},{open},{:.1},{:.1},{:.1}",
             quantiles(times),
             writes as f64 / seeds as f64,
-            conflicts as f64 / seeds as f64
+            conflicts as f64 / seeds as f64,
+            reads as f64 / seeds as f64
         );
     }
 }
