Keep the core's time from going back and bound its queue of moves

An event loop that reads the clock before it waits for an event would, after a pause, let a lessor count a lease out too early. The core now never goes back in time, and the doc of handle states when to read the clock.

--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -17,6 +17,9 @@
 use crate::journal::{Decision, Refusal, What};
 use crate::table::Table;
 
+/// The most released moves that wait for a swap. The owner of a dropped one takes its shard back.
+const MAX_QUEUED: usize = 256;
+
 /// A move that an owner released for this planner.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Queued {
@@ -64,6 +67,8 @@
     /// Time since which a service that was never assigned has a ready target.
     pub(super) gathering: BTreeMap<ServiceId, Duration>,
     pub(super) effects: Vec<Effect>,
+    /// Time of the last event; time never goes back.
+    last: Duration,
 }
 
 impl Core {
@@ -97,11 +102,17 @@
             lessor_hold: Duration::ZERO,
             gathering: BTreeMap::new(),
             effects: Vec::new(),
+            last: Duration::ZERO,
         }
     }
 
     /// Takes an event at boot time `now` and returns what the daemon has to do, in order.
+    ///
+    /// Read `now` after the event has arrived: a time from before it would let this daemon count a
+    /// lease out too early after a pause in between.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Effect> {
+        let now = now.max(self.last);
+        self.last = now;
         self.dispatch(now, event);
         self.advance(now);
         std::mem::take(&mut self.effects)
@@ -199,7 +210,9 @@
                 self.releases.abandon(held);
                 self.effects.push(Effect::GrantsChanged);
             }
-            Event::MoveReleased { held, from, to } => self.queue.push(Queued { held, from, to }),
+            Event::MoveReleased { held, from, to } if self.queue.len() < MAX_QUEUED => {
+                self.queue.push(Queued { held, from, to });
+            }
             Event::OverrideRequested {
                 service,
                 key_hash,
