--- a/crates/ownership/examples/recovery.rs
+++ b/crates/ownership/examples/recovery.rs
@@ -4,6 +4,10 @@
 //! `recovery outage SEEDS`: sessions beside the lost ones that stop serving in a platform outage.
 //! `recovery lease SEEDS`: lease length against false ends under pauses and unavailable time.
 //! `recovery fleet SEEDS`: a lost data centre at growing numbers of VMs.
+//! `recovery moves SEEDS`: time that a shard is served by nobody while it moves, without running
+//! work at the target.
+//! `recovery idle`: events per core and platform calls, in the steady state and after a loss in an
+//! outage of the platform.
 
 #[path = "../tests/fake/mod.rs"]
 mod fake;
@@ -11,7 +15,8 @@
 use std::time::Duration;
 
 use fake::{Fault, Setup, Step, World, ms};
-use masticdeal_ownership::lease::CoreSettings;
+use masticdeal_ownership::ids::ShardId;
+use masticdeal_ownership::lease::{CoreSettings, MoveBy};
 use rand::RngExt;
 
 const DATA_CENTRES: [(&str, &str); 3] = [("r", "a"), ("r", "b"), ("r", "c")];
@@ -33,6 +38,8 @@
         drift: 0.002,
         drop: 0.0,
         checks: false,
+        work: 1,
+        abandon: 0.0,
     }
 }
 
@@ -229,6 +236,56 @@
     }
 }
 
+fn moves(seeds: u64) {
+    println!("runs,moved,median_us,p99_us,worst_us");
+    let mut times = Vec::new();
+    for seed in 0..seeds {
+        let mut world = steady(9, 256, CoreSettings::default(), seed);
+        for at in 0..10 {
+            let shard = world.rng.random_range(0..256);
+            let to = world.rng.random_range(0..9);
+            let before = world.table().services[0].shards[shard as usize];
+            let request = Fault::Move(at % 9, shard, to, MoveBy::Owner);
+            world.at(Duration::ZERO, Step::Fault(request));
+            let mut idle = 0;
+            for _ in 0..2_000 {
+                world.run(Duration::from_micros(100)).expect("no violation");
+                idle += u64::from(!world.serves(ShardId(shard)));
+            }
+            if world.table().services[0].shards[shard as usize] != before {
+                times.push(idle * 100);
+            }
+        }
+    }
+    times.sort();
+    let at = |q: f64| times[((times.len() - 1) as f64 * q).round() as usize];
+    let (runs, moved) = (seeds * 10, times.len());
+    println!("{runs},{moved},{},{},{}", at(0.5), at(0.99), at(1.0));
+}
+
+fn idle() {
+    println!("state,vms,events_per_core_s,platform_calls_per_min");
+    let mut world = steady(9, 256, CoreSettings::default(), 1);
+    for outage in [false, true] {
+        if outage {
+            world.platform.down_until = world.now + ms(120_000);
+            world.at(Duration::ZERO, Step::Fault(Fault::Kill(0)));
+            world.run(ms(1_000)).expect("no violation");
+        }
+        let count = |world: &World| {
+            let handled: u64 = world.vms.iter().map(|vm| vm.handled).sum();
+            (handled, world.platform.calls)
+        };
+        let before = count(&world);
+        world.run(ms(60_000)).expect("no violation");
+        let after = count(&world);
+        let cores = world.vms.iter().filter(|vm| vm.core.is_some()).count();
+        let events = (after.0 - before.0) as f64 / 60.0 / cores as f64;
+        let state = if outage { "loss in outage" } else { "steady" };
+        println!("{state},{cores},{events:.1},{}", after.1 - before.1);
+    }
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let what = args.next().unwrap_or_default();
@@ -238,6 +295,8 @@
         "outage" => outage(seeds),
         "lease" => lease(seeds),
         "fleet" => fleet(seeds),
-        _ => eprintln!("usage: recovery losses|outage|lease|fleet [SEEDS]"),
+        "moves" => moves(seeds),
+        "idle" => idle(),
+        _ => eprintln!("usage: recovery losses|outage|lease|fleet|moves|idle [SEEDS]"),
     }
 }
--- a/crates/ownership/tests/fake/mod.rs
+++ b/crates/ownership/tests/fake/mod.rs
@@ -43,6 +43,10 @@
     /// Share of messages that are lost at any time.
     pub drop: f64,
     pub checks: bool,
+    /// Running work of a shard that is drained takes less than this many milliseconds.
+    pub work: u64,
+    /// Share of the drains that are given up.
+    pub abandon: f64,
 }
 
 impl Default for Setup {
@@ -54,6 +58,8 @@
             drift: 0.0,
             drop: 0.0,
             checks: true,
+            work: 30,
+            abandon: 0.1,
         }
     }
 }
@@ -385,6 +391,13 @@
             .sum()
     }
 
+    /// Tells whether some live process may serve the shard now.
+    pub fn serves(&self, shard: ShardId) -> bool {
+        let live = self.vms.iter().filter(|vm| !vm.frozen(self.now));
+        let mut cores = live.filter_map(|vm| Some((vm.core.as_ref()?, vm.clock.local(self.now))));
+        cores.any(|(core, now)| core.serving(now).any(|held| held.shard == shard))
+    }
+
     /// The newest table of the platform.
     pub fn table(&self) -> Arc<Table> {
         self.platform.table.clone()
--- a/crates/ownership/tests/fake/platform.rs
+++ b/crates/ownership/tests/fake/platform.rs
@@ -21,6 +21,8 @@
     pub down_until: Duration,
     pub slow_until: Duration,
     pub lossy_until: Duration,
+    /// Calls that daemons made, answered or not.
+    pub calls: u64,
     pub reads: u64,
     pub writes: u64,
     pub conflicts: u64,
@@ -52,6 +54,7 @@
             sent,
             kind,
         };
+        self.platform.calls += 1;
         let failed = failure(&call.kind);
         self.at(self.platform.timeout, Step::Own(vm, process, failed));
         if !self.reaches_platform(vm) {
--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -336,7 +336,7 @@
 
     fn drain(&mut self, at: usize, held: Held) {
         let sequence = self.send_grants(at);
-        let abandon = self.rng.random_bool(0.1);
+        let abandon = self.rng.random_bool(self.setup.abandon);
         self.vms[at].drains.push((held, sequence, abandon));
     }
 
@@ -348,7 +348,7 @@
         self.vms[at].drains = open;
         let process = self.vms[at].process;
         for (held, _, abandon) in done {
-            let work = ms(self.rng.random_range(0..30));
+            let work = ms(self.rng.random_range(0..self.setup.work));
             if abandon && self.rng.random_bool(0.5) {
                 self.at(work, Step::Own(at, process, Event::MoveAbandoned(held)));
                 continue;
