Check that no free slot stays empty, and add the plotting tool

Change: the random queue test asserts that a pop without a result leaves no slot free for what waits. Plots are made from the CSVs by an example; the measuring tool also times the decisions.

--- /dev/null
+++ b/crates/policy/examples/measure/cost.rs
@@ -0,0 +1,115 @@
+//! What the decisions cost the processor, in real time on this machine.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use masticdeal_policy::balance::{self, Balancer, TargetIx};
+use masticdeal_policy::classes::{self, Classes, Cost, Expected};
+use masticdeal_policy::limit::{self, Limit};
+use masticdeal_policy::queue::{self, Queue, Ticket};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::table::{Row, Table};
+
+const ROUNDS: u32 = 100_000;
+
+/// Measures the time per request of the owner's and of the ingress's decisions.
+pub fn measure(seeds: &[u64]) -> Table {
+    let mut table = Table::new(&["decision", "size"], &["ns_per_request"]);
+    for &seed in seeds {
+        for waiting in [0, 20, 190] {
+            add(
+                &mut table,
+                "owner by waiting requests",
+                waiting,
+                seed,
+                owner(waiting),
+            );
+        }
+        for targets in [3, 6, 40] {
+            add(
+                &mut table,
+                "ingress by targets",
+                targets,
+                seed,
+                ingress(targets, seed),
+            );
+        }
+    }
+    table
+}
+
+fn add(table: &mut Table, decision: &str, size: usize, seed: u64, ns: f64) {
+    table.rows.push(Row {
+        case: vec![decision.to_owned(), size.to_string()],
+        seed,
+        values: vec![ns],
+    });
+}
+
+fn request(path: &str) -> classes::Request<'_> {
+    classes::Request {
+        service: "library",
+        method: "GET",
+        path,
+        key_segment: None,
+    }
+}
+
+/// Classify, push, review, pop, expire, finish and record, with a standing number of waiting
+/// requests.
+fn owner(waiting: usize) -> f64 {
+    let mut classes = Classes::new(classes::Settings::default());
+    let mut queue = Queue::new(
+        queue::Settings::default(),
+        Limit::new(limit::Settings::default(), 6),
+    );
+    let deadline = Duration::from_secs(3600);
+    let mean = Duration::from_millis(1);
+    for item in 0..waiting + 5 {
+        let ticket = Ticket {
+            cost: Cost::Short,
+            shape: None,
+            expected: Some(Expected { mean, most: mean }),
+            deadline,
+        };
+        let _ = queue.push(Duration::ZERO, ticket, item);
+    }
+    // Five requests hold a slot throughout.
+    let held: Vec<_> = (0..5).map_while(|_| queue.pop(Duration::ZERO)).collect();
+    let paths = ["/library/session/4711", "/library/abstract/17.pdf"];
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(u64::from(round));
+        let class = classes.classify(now, request(paths[round as usize % 2]));
+        let _ = black_box(queue.push(now, Ticket::new(class, deadline), 0));
+        queue.review(now, &mut classes);
+        if let Some((_, permit)) = queue.pop(now) {
+            queue.finish(now, permit, Some(mean));
+        }
+        black_box(queue.expire(now));
+        classes.record(now, class.shape, mean);
+    }
+    let ns = start.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+    drop(held);
+    ns
+}
+
+/// Choose, start and finish.
+fn ingress(targets: usize, seed: u64) -> f64 {
+    let mut balancer = Balancer::new(balance::Settings::default());
+    let mut rng = StdRng::seed_from_u64(seed);
+    for ix in 0..targets {
+        balancer.add(Duration::ZERO, TargetIx(ix as u32), false);
+    }
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let now = Duration::from_micros(u64::from(round));
+        if let Some(ix) = balancer.choose(now, &mut rng) {
+            let sent = balancer.start(now, ix);
+            balancer.finish(now + Duration::from_millis(1), sent, true);
+        }
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
--- a/crates/policy/examples/measure/main.rs
+++ b/crates/policy/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! `DIRECTORY/policy-EXPERIMENT.csv`, one row per run, and prints medians with the least and the
 //! greatest value over the seeds.
 
+mod cost;
 mod events;
 mod fleet;
 mod jobs;
@@ -32,6 +33,7 @@
         "lying" => fleet::lying(&SEEDS),
         "ejection" => fleet::ejection(&SEEDS),
         "retries" => fleet::retries(&SEEDS),
+        "cost" => cost::measure(&SEEDS),
         "start" => mix::start(&SEEDS),
         "flood" => mix::flood(&SEEDS),
         "swing" => mix::swing(&SEEDS),
--- /dev/null
+++ b/crates/policy/examples/plot.rs
@@ -0,0 +1,186 @@
+//! Draws grouped bars from a CSV of the measuring tool: medians, with the least and the greatest
+//! value as whiskers.
+//!
+//! `cargo run --example plot -- CSV VALUE X SERIES OUT.svg [COLUMN=TEXT|TEXT]...` draws column VALUE
+//! by column X with one bar per text of column SERIES, over the rows that pass all filters.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::fs;
+use std::process::ExitCode;
+
+const WIDTH: f64 = 900.0;
+const HEIGHT: f64 = 360.0;
+const LEFT: f64 = 60.0;
+const TOP: f64 = 60.0;
+const BOTTOM: f64 = 40.0;
+
+const COLOURS: [&str; 8] = [
+    "#1b6ca8", "#d1495b", "#edae49", "#66a182", "#8d6a9f", "#6b7a8f", "#c97b84", "#2e4057",
+];
+
+type Result<T, E = String> = std::result::Result<T, E>;
+
+/// Median, least and greatest value of one bar.
+type Bar = (f64, f64, f64);
+
+struct Chart {
+    value: String,
+    xs: Vec<String>,
+    series: Vec<String>,
+    bars: HashMap<(String, String), Bar>,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [csv, value, x, series, out, filters @ ..] = args.as_slice() else {
+        eprintln!("usage: plot CSV VALUE X SERIES OUT.svg [COLUMN=TEXT|TEXT]...");
+        return ExitCode::FAILURE;
+    };
+    let drawn = fs::read_to_string(csv)
+        .map_err(|error| format!("{csv}: {error}"))
+        .and_then(|text| read(&text, value, x, series, filters))
+        .and_then(|chart| fs::write(out, draw(&chart)).map_err(|error| format!("{out}: {error}")));
+    match drawn {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(text: &str, value: &str, x: &str, series: &str, filters: &[String]) -> Result<Chart> {
+    let mut lines = text.lines();
+    let head: Vec<&str> = lines.next().unwrap_or_default().split(',').collect();
+    let column = |name: &str| {
+        let found = head.iter().position(|column| *column == name);
+        found.ok_or_else(|| format!("no column `{name}`"))
+    };
+    let (value_at, x_at, series_at) = (column(value)?, column(x)?, column(series)?);
+    let mut kept = Vec::new();
+    for filter in filters {
+        let (name, texts) = filter.split_once('=').ok_or("a filter is COLUMN=TEXT")?;
+        kept.push((column(name)?, texts.split('|').collect::<Vec<_>>()));
+    }
+    let mut chart = Chart {
+        value: value.to_owned(),
+        xs: Vec::new(),
+        series: Vec::new(),
+        bars: HashMap::new(),
+    };
+    let mut values: HashMap<(String, String), Vec<f64>> = HashMap::new();
+    for line in lines {
+        let row: Vec<&str> = line.split(',').collect();
+        if !kept.iter().all(|(at, texts)| texts.contains(&row[*at])) {
+            continue;
+        }
+        let key = (row[x_at].to_owned(), row[series_at].to_owned());
+        remember(&mut chart.xs, &key.0);
+        remember(&mut chart.series, &key.1);
+        let number: f64 = row[value_at].parse().map_err(|_| "a value is no number")?;
+        values.entry(key).or_default().push(number);
+    }
+    chart.bars = values
+        .into_iter()
+        .map(|(key, all)| (key, bar(all)))
+        .collect();
+    Ok(chart)
+}
+
+fn remember(texts: &mut Vec<String>, text: &str) {
+    if !texts.iter().any(|known| known == text) {
+        texts.push(text.to_owned());
+    }
+}
+
+fn bar(mut values: Vec<f64>) -> Bar {
+    values.sort_by(f64::total_cmp);
+    let last = values.len() - 1;
+    let median = (values[last / 2] + values[values.len() / 2]) / 2.0;
+    (median, values[0], values[last])
+}
+
+fn draw(chart: &Chart) -> String {
+    let finite = chart
+        .bars
+        .values()
+        .map(|bar| bar.2)
+        .filter(|v| v.is_finite());
+    let top = finite.fold(0.0, f64::max).max(f64::MIN_POSITIVE);
+    let high = HEIGHT - TOP - BOTTOM;
+    let y = |value: f64| TOP + high * (1.0 - value / top);
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH}\" height=\"{HEIGHT}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n\
+         <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n\
+         <text x=\"{LEFT}\" y=\"16\" font-size=\"13\">{}</text>\n",
+        chart.value
+    );
+    for step in 0..=4 {
+        let value = top * f64::from(step) / 4.0;
+        let at = y(value);
+        let _ = writeln!(
+            svg,
+            "<line x1=\"{LEFT}\" x2=\"{WIDTH}\" y1=\"{at:.1}\" y2=\"{at:.1}\" stroke=\"#ddd\"/>\
+             <text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"end\">{value:.3}</text>",
+            LEFT - 6.0,
+            at + 4.0
+        );
+    }
+    let group = (WIDTH - LEFT) / chart.xs.len().max(1) as f64;
+    let width = 0.85 * group / chart.series.len().max(1) as f64;
+    for (g, x) in chart.xs.iter().enumerate() {
+        let from = LEFT + group * g as f64;
+        let _ = writeln!(
+            svg,
+            "<text x=\"{:.1}\" y=\"{:.1}\" text-anchor=\"middle\">{x}</text>",
+            from + group / 2.0,
+            HEIGHT - BOTTOM + 18.0
+        );
+        for (s, series) in chart.series.iter().enumerate() {
+            let key = (x.clone(), series.clone());
+            if let Some(bar) = chart.bars.get(&key).filter(|bar| bar.0.is_finite()) {
+                let left = from + group * 0.075 + width * s as f64;
+                draw_bar(&mut svg, left, width, *bar, COLOURS[s % COLOURS.len()], &y);
+            }
+        }
+    }
+    draw_legend(&mut svg, &chart.series);
+    svg.push_str("</svg>\n");
+    svg
+}
+
+fn draw_bar(
+    svg: &mut String,
+    left: f64,
+    width: f64,
+    (median, least, most): Bar,
+    colour: &str,
+    y: &impl Fn(f64) -> f64,
+) {
+    let (top, tall) = (y(median), y(0.0) - y(median));
+    let (middle, wide) = (left + width * 0.45, width * 0.9);
+    let _ = writeln!(
+        svg,
+        "<rect x=\"{left:.1}\" y=\"{top:.1}\" width=\"{wide:.1}\" height=\"{tall:.1}\" \
+         fill=\"{colour}\"/><line x1=\"{middle:.1}\" x2=\"{middle:.1}\" y1=\"{:.1}\" \
+         y2=\"{:.1}\" stroke=\"black\"/>",
+        y(least),
+        y(most),
+    );
+}
+
+fn draw_legend(svg: &mut String, series: &[String]) {
+    let step = (WIDTH - LEFT) / series.len().max(1) as f64;
+    for (s, name) in series.iter().enumerate() {
+        let x = LEFT + step * s as f64;
+        let colour = COLOURS[s % COLOURS.len()];
+        let _ = writeln!(
+            svg,
+            "<rect x=\"{x:.1}\" y=\"26\" width=\"10\" height=\"10\" fill=\"{colour}\"/>\
+             <text x=\"{:.1}\" y=\"35\" font-size=\"10\">{name}</text>",
+            x + 14.0
+        );
+    }
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -407,14 +407,14 @@
     /// Returns the mean relative latency of the present targets.
     fn mean_latency(&self, cost: Cost) -> f64 {
         let present = self.targets.iter().filter(|t| t.present);
-        let known: Vec<f64> = present
-            .filter_map(|t| t.latency[cost as usize])
-            .map(|(latency, _)| latency)
-            .collect();
-        if known.is_empty() {
+        let known = present.filter_map(|t| t.latency[cost as usize]);
+        let (sum, count) = known.fold((0.0, 0u32), |(sum, count), (latency, _)| {
+            (sum + latency, count + 1)
+        });
+        if count == 0 {
             return 1.0;
         }
-        known.iter().sum::<f64>() / known.len() as f64
+        sum / f64::from(count)
     }
 
     /// Returns the factor that a reported load puts on a score, from 1 to 1 + [`HINT_WEIGHT`].
--- a/crates/policy/tests/queue_states.rs
+++ b/crates/policy/tests/queue_states.rs
@@ -156,6 +156,11 @@
         let before = (self.queue.running(), self.queue.long_running());
         let limits = (self.queue.slots(self.now), self.queue.long_limit(self.now));
         let Some((item, permit)) = self.queue.pop(self.now) else {
+            let stopped = before.0 >= limits.0 || before.1 >= limits.1;
+            assert!(
+                stopped || self.queue.waiting() == 0,
+                "a free slot stays empty"
+            );
             return;
         };
         assert!(before.0 < limits.0, "started beyond the slots");
