Cut off what outlives the drain, and close gaps that mutations showed in the tests

Cause: after the drain's limit the servers returned but their connections lived on, so a request that never ends kept its connection to the target (the test took 60 s with a 60 s deadline). Mutations of the code also showed three that no test noticed.

Change: both servers cancel their remaining connections at the end of the drain. The tests now use a long deadline, so that a queue entry which is not withdrawn is seen, check that a forged x-masticdeal header does not pass, and check that a silent target counts as away.

Ruled out: closing the target's connection explicitly is one of two mechanisms; the HTTP library closes it as well when a request is dropped, so that mutation has no effect.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -27,6 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::exchange::{Body, Failure};
@@ -73,7 +74,7 @@
 }
 
 /// Serves the callers' port until [`Node::draining`] is set, then lets running requests finish for
-/// at most `settings.daemon.drain`.
+/// at most `settings.daemon.drain` and cuts off the rest.
 pub async fn serve(node: Arc<Node>, peers: Arc<Peers>, owner: Arc<Owner>, listener: TcpListener) {
     let limits = &node.settings.limits;
     let ingress = Arc::new(Ingress {
@@ -85,18 +86,26 @@
         owner,
     });
     let connections = TaskTracker::new();
-    accept(&ingress, listener, &connections).await;
+    let cut = CancellationToken::new();
+    accept(&ingress, listener, &connections, &cut).await;
     connections.close();
     if timeout(node.settings.daemon.drain, connections.wait())
         .await
         .is_err()
     {
         log::warn!("Requests were still running at the end of the drain");
+        cut.cancel();
+        connections.wait().await;
     }
 }
 
 /// Accepts connections until the daemon drains. The listener is closed on return.
-async fn accept(ingress: &Arc<Ingress>, listener: TcpListener, connections: &TaskTracker) {
+async fn accept(
+    ingress: &Arc<Ingress>,
+    listener: TcpListener,
+    connections: &TaskTracker,
+    cut: &CancellationToken,
+) {
     let bound = Arc::new(Semaphore::new(ingress.node.settings.limits.connections));
     let turned_away = Arc::new(Semaphore::new(MAX_TURNED_AWAY));
     let mut draining = ingress.node.draining.subscribe();
@@ -110,9 +119,9 @@
             continue;
         };
         if let Ok(permit) = Arc::clone(&bound).try_acquire_owned() {
-            let ingress = Arc::clone(ingress);
+            let (ingress, cut) = (Arc::clone(ingress), cut.clone());
             connections.spawn(async move {
-                ingress.connection(stream).await;
+                cut.run_until_cancelled(ingress.connection(stream)).await;
                 drop(permit);
             });
         } else if let Ok(permit) = Arc::clone(&turned_away).try_acquire_owned() {
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::io::{Counted, Counts};
@@ -59,11 +60,13 @@
     pub forward: Forwarded,
 }
 
-/// Serves the peers' port until [`Node::closing`] is set, then lets open streams end.
+/// Serves the peers' port until [`Node::closing`] is set, then lets open streams end for a moment
+/// and cuts off the rest.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, handlers: Handlers) {
     let handlers = Arc::new(handlers);
     let bound = Arc::new(Semaphore::new(node.settings.limits.connections));
     let connections = TaskTracker::new();
+    let cut = CancellationToken::new();
     let mut closing = node.closing.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -85,13 +88,18 @@
             counts: Arc::default(),
             outstanding: Arc::default(),
         };
+        let cut = cut.clone();
         connections.spawn(async move {
-            session.run(stream).await;
+            cut.run_until_cancelled(session.run(stream)).await;
             drop(permit);
         });
     }
     connections.close();
-    let _ = timeout(CLOSE_TIMEOUT, connections.wait()).await;
+    if timeout(CLOSE_TIMEOUT, connections.wait()).await.is_err() {
+        // Dropping a connection cancels the requests on it.
+        cut.cancel();
+        connections.wait().await;
+    }
 }
 
 #[derive(Clone)]
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -140,6 +140,7 @@
         paths: vec!["/search/".into()],
         key: Some(KeySource::Path(2)),
         shards: 4,
+        deadline: Duration::from_secs(60),
         ..Service::default()
     };
     let forms = Service {
--- a/crates/daemon/tests/lifecycle.rs
+++ b/crates/daemon/tests/lifecycle.rs
@@ -105,10 +105,40 @@
         "the drain ends although a request runs"
     );
     let cut = hanging.await.unwrap();
-    expect_that!(cut.header("x-masticdeal-verdict"), eq("MayHaveRun"));
+    expect_that!(cut.failure(), eq((502, "MayHaveRun", "peer-failed")));
     expect_that!(target.count(), eq(1));
 }
 
+/// Guards against a frozen target that keeps taking requests until their deadlines.
+#[gtest]
+#[tokio::test]
+async fn silent_target_is_treated_as_away() {
+    let target = Target::start(Script::Hang).await;
+    let (_ingress, owner) = pair(target.address, |_| {}).await;
+    let send = |deadline| {
+        let headers = [("x-masticdeal-deadline-ms", deadline)];
+        call(owner.callers, request("POST", "/search/1", &headers, ""))
+    };
+    for _ in 0..4 {
+        send("20").await;
+    }
+    for _ in 0..2 {
+        send("300").await;
+    }
+    expect_that!(
+        owner.node.target.borrow().is_some(),
+        eq(true),
+        "short deadlines do not count"
+    );
+    send("300").await;
+    expect_that!(owner.node.target.borrow().is_none(), eq(true));
+    expect_that!(
+        send("100").await.failure(),
+        eq((503, "NotRun", "target-away"))
+    );
+    expect_that!(target.count(), eq(7));
+}
+
 /// Guards against a planned move that begins while a request of the shard still runs or waits, and
 /// against a queued request that runs after the release.
 #[gtest]
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -21,6 +21,7 @@
         let headers = [
             ("x-request-id", "id-1"),
             ("x-masticdeal-epoch", "99"),
+            ("x-masticdeal-served-by", "forged"),
             ("x-masticdeal-deadline-ms", "1500"),
             ("connection", "x-secret"),
             ("x-secret", "1"),
@@ -38,6 +39,7 @@
         expect_that!(seen.header("got-traceparent"), starts_with("00-"));
         expect_that!(seen.header("x-masticdeal-served-by"), eq("vm-1"));
         for absent in [
+            "got-x-masticdeal-served-by",
             "got-x-secret",
             "got-connection",
             "x-masticdeal-load",
