Take the answer away from a caller that stops reading it; test logs and traces

Cause: an answer is sent at its caller's speed while it holds a slot of the target, so a few callers that read nothing could hold all slots for good. The kept head of a request body could also grow with the bound on requests to 512 MiB.

Change: a caller that leaves a frame untaken for 30 s loses the answer, visibly; a slow target does not count against the caller. The kept head of a request body is 16 KiB (128 MiB at 8,192 requests). Tests for both, for answers without a body, for the log format and for traces.

Ruled out: a timeout on the socket's writes, which does not see a stalled h2 stream.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod replay;
 mod reply;
 mod route;
+mod stall;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -39,6 +40,7 @@
 use head::Head;
 use replay::Replay;
 use reply::Open;
+use stall::Stalls;
 
 /// Longest wait for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -67,6 +69,7 @@
     peers: Arc<Peers>,
     owner: Arc<Owner>,
     services: Services,
+    stalls: Arc<Stalls>,
     /// Bounds the requests in progress.
     requests: Arc<Semaphore>,
     /// Bounds the requests that wait for somebody who may serve them.
@@ -81,6 +84,7 @@
         requests: Arc::new(Semaphore::new(limits.requests)),
         waiting: Semaphore::new(limits.queue_length),
         services: Services::default(),
+        stalls: Stalls::start(Arc::clone(&node.clock)),
         node: Arc::clone(&node),
         peers,
         owner,
@@ -213,7 +217,7 @@
         head.forward.traceparent = hop.traceparent();
         let body = Replay::new(incoming, self.node.settings.limits.max_body_bytes);
         match self.attempts(head, &body).await {
-            Ok(answered) => reply::answer(answered, open, &id),
+            Ok(answered) => reply::answer(answered, open, &self.stalls, &id),
             Err(failure) => {
                 hop.note("failure", || failure.reason.as_str().to_owned());
                 reply::failure(failure, open, &id)
--- a/crates/daemon/src/ingress/replay.rs
+++ b/crates/daemon/src/ingress/replay.rs
@@ -14,8 +14,9 @@
 
 use crate::exchange::{Body, BodyError, empty};
 
-/// Bytes of a request body that are kept for another attempt.
-pub const REPLAY_BYTES: usize = 64 << 10;
+/// Bytes of a request body that are kept for another attempt. The bound on requests in progress
+/// multiplies it, so it covers forms and not uploads.
+pub const REPLAY_BYTES: usize = 16 << 10;
 
 /// A request body that several attempts may read, one after the other.
 pub struct Replay {
--- a/crates/daemon/src/ingress/reply.rs
+++ b/crates/daemon/src/ingress/reply.rs
@@ -17,6 +17,7 @@
 
 use super::attempts::Answered;
 use super::balance::Choice;
+use super::stall::Stalls;
 use crate::exchange::{Body, BodyError, Failure, full, to_header_map};
 use crate::node::Node;
 use crate::telemetry::metrics::{ByReason, Finished};
@@ -115,7 +116,12 @@
 }
 
 /// Renders the target's answer.
-pub fn answer(answered: Answered, open: Open, request_id: &str) -> Response<Body> {
+pub fn answer(
+    answered: Answered,
+    open: Open,
+    stalls: &Arc<Stalls>,
+    request_id: &str,
+) -> Response<Body> {
     let Answered { answer, vm, choice } = answered;
     let Ok(status) = StatusCode::from_u16(answer.status) else {
         return failure(
@@ -140,7 +146,7 @@
     if body.is_end_stream() {
         body.complete();
     }
-    let mut response = Response::new(body.boxed_unsync());
+    let mut response = Response::new(stalls.watch(body.boxed_unsync()));
     *response.status_mut() = status;
     *response.headers_mut() = map;
     set(&mut response, headers::SERVED_BY, &vm);
--- a/crates/daemon/tests/common/target.rs
+++ b/crates/daemon/tests/common/target.rs
@@ -28,6 +28,8 @@
     Hang,
     /// Refuses with this status and the verdict `NotRun`.
     Refuse(u16),
+    /// Sends 304 with the length of a body that does not follow.
+    Bodiless,
     /// Refuses the first request with 503 and the verdict `NotRun`, and echoes all others.
     RefuseOnce,
     /// Echoes and closes the connection without announcing it.
@@ -126,6 +128,10 @@
                 // Returns when the daemon closes the connection.
                 return stream.read_to_end(&mut buf).await.map(|_| ());
             }
+            Script::Bodiless => {
+                let answer = b"HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n";
+                stream.write_all(answer).await?;
+            }
             Script::Refuse(status) => {
                 let answer = format!(
                     "HTTP/1.1 {status} No\r\nx-masticdeal-verdict: NotRun\r\n\
--- /dev/null
+++ b/crates/daemon/tests/telemetry.rs
@@ -0,0 +1,82 @@
+//! Logs and traces.
+
+use std::sync::mpsc;
+
+use googletest::prelude::*;
+use log::Log as _;
+use masticdeal_config::settings::{Log, Settings};
+use masticdeald::telemetry::logs;
+use masticdeald::telemetry::traces::Hop;
+
+/// Guards against lines that are not one JSON object each, levels that are ignored, and secrets in
+/// the output of the settings.
+#[gtest]
+#[test]
+fn log_lines_are_json_with_levels_per_module() {
+    let (tx, rx) = mpsc::channel();
+    let modules = vec![("masticdeald::peers".into(), "debug".into())];
+    let settings = Log {
+        level: "warn".into(),
+        modules,
+    };
+    let (_, logger) = logs::dispatch(&settings).unwrap().chain(tx).into_log();
+    let mut all = Settings::default();
+    all.secret.peers = "hidden-1".into();
+    all.secret.operators = "hidden-2".into();
+    let text = format!("a \"quoted\"\nline {all:?}");
+    let levels = [
+        ("masticdeald::peers::link", log::Level::Debug, true),
+        ("masticdeald::peers", log::Level::Trace, false),
+        ("masticdeald::owner", log::Level::Info, false),
+        ("masticdeald::owner", log::Level::Warn, true),
+    ];
+    for (target, level, seen) in levels {
+        let pairs = [("peer", "127.0.0.1:1"), ("message", "not replaced")];
+        let arguments = format_args!("{text}");
+        let mut record = log::Record::builder();
+        record
+            .target(target)
+            .level(level)
+            .args(arguments)
+            .key_values(&pairs);
+        logger.log(&record.build());
+        let line = rx.try_recv();
+        expect_that!(line.is_ok(), eq(seen), "{target} {level}");
+        let Ok(line) = line else { continue };
+        expect_that!(line.trim_end().lines().count(), eq(1));
+        let fields: serde_json::Value = serde_json::from_str(&line).unwrap();
+        expect_that!(fields["module"].as_str(), some(eq(target)));
+        expect_that!(fields["message"].as_str(), some(eq(text.as_str())));
+        expect_that!(fields["peer"].as_str(), some(eq("127.0.0.1:1")));
+        expect_that!(line, not(contains_substring("hidden-")));
+    }
+    let wrong = Log {
+        level: "loud".into(),
+        modules: Vec::new(),
+    };
+    expect_that!(
+        logs::dispatch(&wrong).err(),
+        some(eq(&logs::Error::Level("loud".into())))
+    );
+}
+
+/// Guards against a trace that breaks at a hop, with and without a reporter.
+#[gtest]
+#[test]
+fn traces_go_on_over_hops() {
+    let caller = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let first = Hop::start("ingress", caller);
+    let second = Hop::start("owner", &first.traceparent());
+    expect_that!(
+        second.traceparent(),
+        starts_with("00-0af7651916cd43dd8448eb211c80319c-")
+    );
+    for malformed in ["", "00-zz", "x"] {
+        let fresh = Hop::start("ingress", malformed).traceparent();
+        expect_that!(fresh.len(), eq(55), "{malformed}");
+        expect_that!(
+            fresh,
+            not(contains_substring("00000000000000000000000000000000"))
+        );
+    }
+}
