Test which failures between daemons prove that nothing ran

A fake owner refuses, resets, closes, answers garbage or sends GOAWAY. Only a refused stream, a GOAWAY without an error below the stream, and a refusal by status give NotRun.

--- /dev/null
+++ b/crates/daemon/tests/peer_failures.rs
@@ -0,0 +1,144 @@
+//! Failures of the connection between daemons, and which of them prove that nothing ran.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use common::{Daemon, LOCAL, call, publish, request, settings, table};
+use googletest::prelude::*;
+use http::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the fake owner does with a forwarded request.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// Closes the connection when it accepts it.
+    CloseAtOnce,
+    /// Resets the stream with this reason.
+    Reset(h2::Reason),
+    /// Reads the request and closes the connection.
+    CloseAfterRead,
+    /// Answers with this status and body, and ends the stream.
+    Answer(u16, &'static [u8]),
+    /// Sends GOAWAY with last stream 0 and this error code.
+    GoAway(u8),
+}
+
+async fn fake_owner(fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind(LOCAL).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            match fault {
+                Fault::CloseAtOnce => drop(stream),
+                Fault::GoAway(code) => drop(tokio::spawn(go_away(stream, code))),
+                _ => drop(tokio::spawn(answer(stream, fault))),
+            }
+        }
+    });
+    address
+}
+
+async fn answer(stream: TcpStream, fault: Fault) {
+    let mut connection = h2::server::handshake(stream).await.unwrap();
+    while let Some(Ok((mut request, mut respond))) = connection.accept().await {
+        match fault {
+            Fault::Reset(reason) => respond.send_reset(reason),
+            Fault::Answer(status, body) => {
+                let response = Response::builder().status(status).body(()).unwrap();
+                let mut out = respond.send_response(response, false).unwrap();
+                out.send_data(Bytes::from_static(body), true).unwrap();
+            }
+            _ => {
+                let read = request.body_mut().data();
+                tokio::select! { _ = read => {} _ = connection.accept() => {} }
+                return;
+            }
+        }
+    }
+}
+
+/// Speaks just enough h2 to send a GOAWAY frame after the first frames of a request.
+async fn go_away(mut stream: TcpStream, code: u8) -> std::io::Result<()> {
+    stream.write_all(&[0, 0, 0, 4, 0, 0, 0, 0, 0]).await?;
+    let mut buf = vec![0; 64 << 10];
+    let mut read = 0;
+    // The preface, the settings and the headers are longer than this.
+    while read < 150 {
+        read += stream.read(&mut buf).await?;
+    }
+    stream
+        .write_all(&[0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, code])
+        .await?;
+    while stream.read(&mut buf).await? > 0 {}
+    Ok(())
+}
+
+/// Guards against `NotRun` for a request that the peer may have run, and against `MayHaveRun` for
+/// one that it provably did not.
+#[gtest]
+#[tokio::test]
+async fn only_proofs_give_not_run() {
+    let not_run = (503, "NotRun", "peer-failed");
+    let may_have_run = (502, "MayHaveRun", "peer-failed");
+    let rows = [
+        (Fault::Reset(h2::Reason::REFUSED_STREAM), not_run),
+        (Fault::Reset(h2::Reason::CANCEL), may_have_run),
+        (Fault::Reset(h2::Reason::INTERNAL_ERROR), may_have_run),
+        (Fault::CloseAfterRead, may_have_run),
+        (Fault::GoAway(0), not_run),
+        (Fault::GoAway(1), may_have_run),
+        (Fault::Answer(401, b""), not_run),
+        (Fault::Answer(400, b""), not_run),
+        (Fault::Answer(200, b""), (502, "MayHaveRun", "malformed")),
+        (
+            Fault::Answer(200, b"\0\0\0\x02\xff\xff"),
+            (502, "MayHaveRun", "malformed"),
+        ),
+        (
+            Fault::Answer(200, b"\xff\xff\xff\xff"),
+            (502, "MayHaveRun", "malformed"),
+        ),
+    ];
+    for (fault, expected) in rows {
+        let ingress = Daemon::start(settings(|_| {})).await;
+        let other = Daemon::start(settings(|_| {})).await;
+        let mut table = table(1, &[&ingress, &other], Some(1));
+        table.sessions[1].address = fake_owner(fault).await;
+        publish(&[&ingress], &table);
+        let headers = [("x-masticdeal-deadline-ms", "150")];
+        let seen = call(
+            ingress.callers,
+            request("POST", "/search/1", &headers, "body"),
+        )
+        .await;
+        expect_that!(seen.failure(), eq(expected), "{fault:?}");
+    }
+}
+
+/// Guards against a daemon that gives up, or runs twice, when the peer closes every connection.
+#[gtest]
+#[tokio::test]
+async fn closed_connections_end_with_a_verdict() {
+    let ingress = Daemon::start(settings(|_| {})).await;
+    let other = Daemon::start(settings(|_| {})).await;
+    let mut table = table(1, &[&ingress, &other], Some(1));
+    table.sessions[1].address = fake_owner(Fault::CloseAtOnce).await;
+    publish(&[&ingress], &table);
+    for _ in 0..20 {
+        let headers = [("x-masticdeal-deadline-ms", "100")];
+        let seen = call(
+            ingress.callers,
+            request("POST", "/search/1", &headers, "body"),
+        )
+        .await;
+        let (status, verdict, reason) = seen.failure();
+        expect_that!(
+            (status, verdict),
+            any![eq((503, "NotRun")), eq((502, "MayHaveRun"))]
+        );
+        expect_that!(reason, eq("peer-failed"));
+    }
+}
