--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -30,6 +30,7 @@
 
 #[allow(unused_imports, reason = "each test file uses a part")]
 pub use relay::Relay;
+#[allow(unused_imports, reason = "each test file uses a part")]
 pub use target::{Script, Target};
 
 pub const SECRET: &str = "peers-secret";
