Close connections that never show a request

Cause: a connection that sent nothing, or half of an h2 preface, kept its place under the bound on connections for good, on the callers' and on the peers' port.

Change: both ports close it after 3 s. The head of a request on a known connection may take 60 s in place of 10, because the same timer closes kept connections of callers that are idle.

Checked: cargo test -p masticdeald, green; without the two timers the new test does not end.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -27,7 +27,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -35,6 +35,7 @@
 use crate::node::Node;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::peers::io::{Counted, Counts};
 use crate::telemetry::traces::Hop;
 use balance::Services;
 use head::Head;
@@ -42,8 +43,14 @@
 use reply::Open;
 use stall::Stalls;
 
-/// Longest wait for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the head of a request on a connection that has shown its protocol.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest wait for the bytes that show the protocol of a connection.
+const PREFACE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Length of the preface of h2 in bytes; a request of HTTP/1.1 with its host is longer.
+const PREFACE_BYTES: u64 = 24;
 
 /// Time without a frame after which an h2 connection of a caller is pinged, and the wait for the
 /// answer.
@@ -119,7 +126,7 @@
             _ = draining.wait_for(|draining| *draining) => return,
         };
         let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
+            sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         if let Ok(permit) = Arc::clone(&bound).try_acquire_owned() {
@@ -164,13 +171,24 @@
             let ingress = Arc::clone(&ingress);
             async move { Ok::<_, Infallible>(ingress.handle(request).await) }
         });
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let counts = Arc::new(Counts::default());
+        let io = TokioIo::new(Counted::new(stream, Arc::clone(&counts)));
+        let connection = builder.serve_connection(io, service);
         tokio::pin!(connection);
+        // The HTTP library waits without end for the bytes by which it tells the protocols apart.
+        let preface = sleep(PREFACE_TIMEOUT);
+        tokio::pin!(preface);
         let mut draining = self.node.draining.subscribe();
-        let mut closing = false;
+        let (mut closing, mut known) = (false, false);
         loop {
             tokio::select! {
                 _ = connection.as_mut() => return,
+                () = &mut preface, if !known => {
+                    known = counts.read() >= PREFACE_BYTES;
+                    if !known {
+                        return;
+                    }
+                }
                 _ = draining.wait_for(|draining| *draining), if !closing => {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -15,7 +15,7 @@
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -26,8 +26,9 @@
 use crate::exchange::{BodyError, Failure, Outcome, Request, to_wire_ms};
 use crate::node::Node;
 
-/// Longest wait for the preface of a connection, and for a control message on an open stream.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for the preface and the first request of a connection, which a peer sends at once,
+/// and for a message on an open stream.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Longest wait for the last frames of a connection that is being closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -74,7 +75,7 @@
             _ = closing.wait_for(|closing| *closing) => break,
         };
         let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
+            sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         let Ok(permit) = Arc::clone(&bound).try_acquire_owned() else {
@@ -140,9 +141,11 @@
     async fn accept(&self, connection: &mut Connection) {
         let mut closing = self.node.closing.subscribe();
         let mut shutting_down = false;
+        let mut authorized = false;
         loop {
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
+                () = sleep(READ_TIMEOUT), if !authorized => return,
                 _ = closing.wait_for(|closing| *closing), if !shutting_down => {
                     shutting_down = true;
                     connection.graceful_shutdown();
@@ -155,6 +158,7 @@
             if !self.is_authorized(request.headers()) {
                 return self.turn_away(connection, respond).await;
             }
+            authorized = true;
             tokio::spawn(self.clone().stream(request, respond));
         }
     }
--- a/crates/daemon/tests/ports.rs
+++ b/crates/daemon/tests/ports.rs
@@ -73,6 +73,29 @@
     expect_that!(seen.status, eq(200));
 }
 
+/// Guards against connections that send nothing, or only the beginning of a preface, and take the
+/// places of others for good.
+#[gtest]
+#[tokio::test]
+async fn idle_strangers_lose_their_connections() {
+    let daemon = Daemon::start(settings(|s| s.limits.connections = 3)).await;
+    let mut open = Vec::new();
+    for port in [daemon.callers, daemon.peers_port] {
+        for start in [&b""[..], b"PRI * HTTP", b"PRI * HTTP/2.0\r\n\r\nSM\r\n"] {
+            let mut stream = TcpStream::connect(port).await.unwrap();
+            stream.write_all(start).await.unwrap();
+            open.push(stream);
+        }
+    }
+    let closed = open.iter_mut().map(async |stream| {
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+    });
+    futures_util::future::join_all(closed).await;
+    let seen = call(daemon.callers, request("GET", "/", &[], "")).await;
+    expect_that!(seen.status, eq(404));
+}
+
 /// Opens an h2 connection and sends one message; returns the status, or `None` when it was reset.
 async fn h2_post(to: SocketAddr, path: &str, secret: &str, body: &[u8]) -> Option<u16> {
     let stream = TcpStream::connect(to).await.unwrap();
