--- a/crates/bench/src/bin/prove.rs
+++ b/crates/bench/src/bin/prove.rs
@@ -275,6 +275,7 @@
 
     /// Ends all faults and waits until every daemon is ready and every service answers.
     async fn recover(&mut self) -> Result<(), Error> {
+        let since = Instant::now();
         self.relay.heal_all();
         self.fleet.fault(&Default::default()).await?;
         for vm in 0..self.fleet.vms.len() {
@@ -285,7 +286,6 @@
         for vm in 0..self.fleet.vms.len() {
             self.give_back(vm).await;
         }
-        let since = Instant::now();
         if let Err(e) = self.fleet.wait_ready(READY_LIMIT).await {
             self.found
                 .push(Violation::Other(format!("no recovery: {e}")));
--- a/crates/bench/src/check.rs
+++ b/crates/bench/src/check.rs
@@ -25,7 +25,7 @@
         /// The other target.
         second: String,
     },
-    /// shard {shard}: {id} started at {target} under epoch {epoch}, {late_us} us after epoch {newer_epoch} at {newer}
+    /// shard {shard}: {id} started at {target} under epoch {epoch}, {late_us} us after epoch {newer_epoch} at {newer} (checks grants: {checked})
     EpochWentBack {
         /// Service and shard.
         shard: String,
@@ -35,6 +35,8 @@
         target: String,
         /// The older epoch.
         epoch: u32,
+        /// Whether the target under the older epoch checks grants.
+        checked: bool,
         /// Target under the newer epoch.
         newer: String,
         /// The newer epoch.
@@ -196,6 +198,7 @@
                 id: start.id.clone(),
                 target: start.target.clone(),
                 epoch,
+                checked: start.checked,
                 newer: seen.target.to_owned(),
                 newer_epoch: seen.epoch,
                 late_us: start.at_us - seen.since_us,
