Drop settling times that have passed

Cause: after a loss or a move that was learned as a whole table, a settling time in the past stayed the core's next deadline, so the driver never slept. Ruled out: a pending swap and a lost lessor; gdb showed the I/O driver waiting 1 ms at a time on a daemon that had only gained shards. Change: each step of the core drops settling times that have passed; the fake world fails on any deadline in the past without an effect.

--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -30,6 +30,8 @@
 impl Core {
     /// Does everything that is due at `now`.
     pub(super) fn advance(&mut self, now: Duration) {
+        // An end in the past would stay the next deadline and keep the driver from sleeping.
+        self.settling.retain(|_, until| now < *until);
         self.send_renewals(now);
         self.release_for_leaving();
         if let Some(effect) = self.writer.read_back(now, &self.settings) {
--- a/crates/ownership/tests/fake/mod.rs
+++ b/crates/ownership/tests/fake/mod.rs
@@ -43,6 +43,8 @@
     /// Share of messages that are lost at any time.
     pub drop: f64,
     pub checks: bool,
+    /// Whether the targets announce that they check grants.
+    pub grants_checked: bool,
     /// Running work of a shard that is drained takes less than this many milliseconds.
     pub work: u64,
     /// Share of the drains that are given up.
@@ -58,6 +60,7 @@
             drift: 0.0,
             drop: 0.0,
             checks: true,
+            grants_checked: true,
             work: 30,
             abandon: 0.1,
         }
--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -145,7 +145,7 @@
         let report = TargetReport {
             service: "search".into(),
             slots: 6,
-            checks_grants: true,
+            checks_grants: self.setup.grants_checked,
             state: vm.target,
             capacity: 0,
         };
@@ -179,7 +179,15 @@
             vm.asked.remove(&(*lessor, *sequence));
         }
         vm.handled += 1;
-        let effects = core.handle(vm.clock.local(now), event);
+        let local = vm.clock.local(now);
+        let effects = core.handle(local, event);
+        // Guards against a deadline that stays in the past, with which the daemon never sleeps.
+        let deadline = core.next_deadline();
+        let sleeps = deadline.is_none_or(|at| at > local);
+        assert!(
+            sleeps || !effects.is_empty(),
+            "deadline {deadline:?} at {local:?}"
+        );
         let process = vm.process;
         match vm.stall.take_if(|_| !effects.is_empty()) {
             Some((stall, freeze)) => {
--- a/crates/ownership/tests/recovery.rs
+++ b/crates/ownership/tests/recovery.rs
@@ -12,6 +12,10 @@
 
 /// Nine VMs in three data centres, `vm % 3` being the data centre.
 fn steady(lessors: usize, seed: u64) -> World {
+    steady_with(lessors, seed, true)
+}
+
+fn steady_with(lessors: usize, seed: u64, grants_checked: bool) -> World {
     let places = [("r", "a"), ("r", "b"), ("r", "c")];
     let setup = Setup {
         settings: CoreSettings {
@@ -21,6 +25,7 @@
         places: (0..9).map(|at| places[at % 3]).collect(),
         shards: SHARDS,
         drift: 0.002,
+        grants_checked,
         ..Setup::default()
     };
     let mut world = World::new(setup, seed);
@@ -154,6 +159,20 @@
     expect_that!(handled(&world) - before, lt(8 * 10 * 70));
 }
 
+/// Guards against a settling time that stays the next deadline after it has passed, with which the
+/// driver of the daemon never sleeps.
+#[googletest::test]
+fn settled_shards_do_not_keep_the_cores_busy() {
+    let mut world = steady_with(2, 12, false);
+    inject(&mut world, Fault::Kill(3));
+    expect_that!(recover(&mut world), lt(ms(1_000)));
+    run(&mut world, ms(1_000));
+    let handled = |world: &World| world.vms.iter().map(|vm| vm.handled).sum::<u64>();
+    let before = handled(&world);
+    run(&mut world, ms(5_000));
+    expect_that!(handled(&world) - before, lt(8 * 5 * 70));
+}
+
 /// Guards against a fleet that cannot start again after all leases ran out at once (R12).
 #[googletest::test]
 fn the_fleet_recovers_from_a_pause_of_all_processes() {
