--- /dev/null
+++ b/crates/bench/examples/plot.rs
@@ -0,0 +1,290 @@
+//! Draws columns of a CSV file as an SVG, with a straight line fitted to each by least squares.
+//!
+//! Each fit is printed as `column,points,slope,intercept,worst_residual,value_at_limit`. The value
+//! at the limit is an extrapolation whenever `--until` lies beyond the measured points.
+
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Width of the picture in pixels.
+const WIDTH: f64 = 760.0;
+
+/// Height of the picture in pixels.
+const HEIGHT: f64 = 420.0;
+
+/// Space around the plotted area in pixels, for the scales and the legend.
+const MARGIN: f64 = 60.0;
+
+/// Intervals of each scale.
+const TICKS: u32 = 6;
+
+/// Colours of the columns, in turn.
+const COLOURS: [&str; 4] = ["#0b62a4", "#c0392b", "#1e8449", "#7d3c98"];
+
+/// Draws columns of a CSV file as an SVG.
+#[derive(argh::FromArgs)]
+struct Args {
+    /// CSV file with a header line
+    #[argh(option)]
+    csv: PathBuf,
+    /// column of the horizontal axis
+    #[argh(option)]
+    x: String,
+    /// columns of the vertical axis, separated by commas
+    #[argh(option)]
+    y: String,
+    /// only rows with this value, as COLUMN=VALUE; may be repeated
+    #[argh(option)]
+    rows: Vec<String>,
+    /// title of the picture (default: the columns)
+    #[argh(option)]
+    title: Option<String>,
+    /// value of x up to which the fitted lines are drawn
+    #[argh(option)]
+    until: f64,
+    /// value of y that is drawn as a limit
+    #[argh(option)]
+    budget: Option<f64>,
+    /// SVG file (default: only the fits are printed)
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// Why nothing is drawn.
+#[derive(Debug, displaydoc::Display)]
+enum Error {
+    /// {0}: {1}
+    Io(String, std::io::Error),
+    /// no column {0}
+    NoColumn(String),
+    /// line {0}: {1} is not a number
+    NotANumber(usize, String),
+    /// {0} is not COLUMN=VALUE
+    BadFilter(String),
+    /// fewer than two different values of {0}
+    TooFew(String),
+}
+
+type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A straight line.
+#[derive(Debug, Clone, Copy)]
+struct Fit {
+    slope: f64,
+    intercept: f64,
+}
+
+impl Fit {
+    /// Fits by least squares. Returns `None` for fewer than two different values of x.
+    fn of(points: &[(f64, f64)]) -> Option<Self> {
+        let n = points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+        let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+        let var: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+        let cov: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+        (var > 0.0).then(|| Self {
+            slope: cov / var,
+            intercept: y - cov / var * x,
+        })
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+
+    /// Returns the largest distance of a point from the line, in units of y.
+    fn worst(&self, points: &[(f64, f64)]) -> f64 {
+        let far = points.iter().map(|&(x, y)| (y - self.at(x)).abs());
+        far.fold(0.0, f64::max)
+    }
+}
+
+/// A column with its fit.
+struct Series {
+    name: String,
+    points: Vec<(f64, f64)>,
+    fit: Fit,
+}
+
+fn main() -> ExitCode {
+    match draw(&argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("plot: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn draw(args: &Args) -> Result<()> {
+    let path = args.csv.display().to_string();
+    let text = std::fs::read_to_string(&args.csv).map_err(|e| Error::Io(path, e))?;
+    let mut all = Vec::new();
+    println!("column,points,slope,intercept,worst_residual,value_at_limit");
+    for name in args.y.split(',') {
+        let points = column(&text, &args.x, name, &args.rows)?;
+        let fit = Fit::of(&points).ok_or_else(|| Error::TooFew(args.x.clone()))?;
+        println!(
+            "{name},{},{:.6},{:.4},{:.4},{:.4}",
+            points.len(),
+            fit.slope,
+            fit.intercept,
+            fit.worst(&points),
+            fit.at(args.until)
+        );
+        let name = name.to_owned();
+        all.push(Series { name, points, fit });
+    }
+    let Some(out) = &args.out else { return Ok(()) };
+    let svg = Picture::new(args, &all).render(args, &all);
+    std::fs::write(out, svg).map_err(|e| Error::Io(out.display().to_string(), e))
+}
+
+/// Returns the pairs of two columns in the rows that pass all filters.
+fn column(text: &str, x: &str, y: &str, rows: &[String]) -> Result<Vec<(f64, f64)>> {
+    let mut lines = text.lines();
+    let header: Vec<&str> = lines.next().unwrap_or("").split(',').collect();
+    let find = |name: &str| {
+        let at = header.iter().position(|h| *h == name);
+        at.ok_or_else(|| Error::NoColumn(name.to_owned()))
+    };
+    let (x, y) = (find(x)?, find(y)?);
+    let mut filters = Vec::new();
+    for row in rows {
+        let parts = row.split_once('=');
+        let (name, value) = parts.ok_or_else(|| Error::BadFilter(row.clone()))?;
+        filters.push((find(name)?, value));
+    }
+    let mut points = Vec::new();
+    for (at, line) in lines.enumerate() {
+        let fields: Vec<&str> = line.split(',').collect();
+        if filters.iter().all(|(i, v)| fields.get(*i) == Some(v)) {
+            let number = |i: usize| {
+                let field = fields.get(i).copied().unwrap_or("");
+                let bad = |_| Error::NotANumber(at + 2, field.to_owned());
+                field.parse::<f64>().map_err(bad)
+            };
+            points.push((number(x)?, number(y)?));
+        }
+    }
+    Ok(points)
+}
+
+/// Scales of a picture.
+struct Picture {
+    x_max: f64,
+    y_max: f64,
+}
+
+impl Picture {
+    fn new(args: &Args, all: &[Series]) -> Self {
+        let points = all.iter().flat_map(|s| &s.points);
+        let ends = all.iter().map(|s| s.fit.at(args.until));
+        let highest = points.clone().map(|p| p.1).chain(ends).chain(args.budget);
+        let furthest = points.map(|p| p.0).fold(args.until, f64::max);
+        Self {
+            x_max: furthest.max(f64::MIN_POSITIVE),
+            y_max: highest.fold(f64::MIN_POSITIVE, f64::max) * 1.05,
+        }
+    }
+
+    fn x(&self, value: f64) -> f64 {
+        MARGIN + value / self.x_max * (WIDTH - 2.0 * MARGIN)
+    }
+
+    /// Returns the vertical place; negative values lie on the axis.
+    fn y(&self, value: f64) -> f64 {
+        HEIGHT - MARGIN - value.max(0.0) / self.y_max * (HEIGHT - 2.0 * MARGIN)
+    }
+
+    fn render(&self, args: &Args, all: &[Series]) -> String {
+        let mut svg = format!(
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 {WIDTH} {HEIGHT}\" \
+             font-family=\"sans-serif\" font-size=\"12\">\n\
+             <rect width=\"{WIDTH}\" height=\"{HEIGHT}\" fill=\"white\"/>\n"
+        );
+        let title = args.title.as_deref().unwrap_or(&args.y);
+        text(&mut svg, (WIDTH / 2.0, 20.0), "middle", "black", title);
+        text(
+            &mut svg,
+            (WIDTH / 2.0, HEIGHT - 10.0),
+            "middle",
+            "black",
+            &args.x,
+        );
+        self.scales(&mut svg);
+        for (at, series) in all.iter().enumerate() {
+            self.series(&mut svg, at, series, args.until);
+        }
+        if let Some(budget) = args.budget {
+            let ends = [(0.0, budget), (self.x_max, budget)];
+            self.line(&mut svg, ends, "black", "2 4");
+            let at = (self.x(self.x_max), self.y(budget) - 4.0);
+            text(&mut svg, at, "end", "black", &format!("budget {budget}"));
+        }
+        svg + "</svg>\n"
+    }
+
+    fn scales(&self, svg: &mut String) {
+        for tick in 0..=TICKS {
+            let share = f64::from(tick) / f64::from(TICKS);
+            let (x, y) = (self.x_max * share, self.y_max * share);
+            self.line(svg, [(0.0, y), (self.x_max, y)], "#dddddd", "none");
+            let below = (self.x(x), HEIGHT - MARGIN + 16.0);
+            text(svg, below, "middle", "black", &short(x));
+            let beside = (MARGIN - 6.0, self.y(y) + 4.0);
+            text(svg, beside, "end", "black", &short(y));
+        }
+    }
+
+    fn series(&self, svg: &mut String, at: usize, series: &Series, until: f64) {
+        let colour = COLOURS[at % COLOURS.len()];
+        let fit = series.fit;
+        let ends = [(0.0, fit.at(0.0)), (until, fit.at(until))];
+        self.line(svg, ends, colour, "6 4");
+        for &(x, y) in &series.points {
+            let (x, y) = (self.x(x), self.y(y));
+            let _ = writeln!(
+                svg,
+                "<circle cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"4\" fill=\"{colour}\"/>"
+            );
+        }
+        let legend = (MARGIN + 10.0, MARGIN + 16.0 * at as f64 - 16.0);
+        let words = format!(
+            "{}: {} + {} x, {} at {}",
+            series.name,
+            short(fit.intercept),
+            short(fit.slope),
+            short(fit.at(until)),
+            short(until)
+        );
+        text(svg, legend, "start", colour, &words);
+    }
+
+    fn line(&self, svg: &mut String, ends: [(f64, f64); 2], colour: &str, dashes: &str) {
+        let [(x1, y1), (x2, y2)] = ends.map(|(x, y)| (self.x(x), self.y(y)));
+        let _ = writeln!(
+            svg,
+            "<line x1=\"{x1:.1}\" y1=\"{y1:.1}\" x2=\"{x2:.1}\" y2=\"{y2:.1}\" \
+             stroke=\"{colour}\" stroke-dasharray=\"{dashes}\"/>"
+        );
+    }
+}
+
+fn text(svg: &mut String, (x, y): (f64, f64), anchor: &str, colour: &str, words: &str) {
+    let words = words.replace('&', "&amp;").replace('<', "&lt;");
+    let _ = writeln!(
+        svg,
+        "<text x=\"{x:.1}\" y=\"{y:.1}\" text-anchor=\"{anchor}\" fill=\"{colour}\">{words}</text>"
+    );
+}
+
+/// Formats a number with about three significant digits.
+fn short(value: f64) -> String {
+    match value.abs() {
+        size if size == 0.0 || size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        _ => format!("{value:.4}"),
+    }
+}
