--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod replay;
 mod reply;
 mod route;
+mod stall;
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -27,6 +28,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::exchange::{Body, Failure};
@@ -38,6 +40,7 @@
 use head::Head;
 use replay::Replay;
 use reply::Open;
+use stall::Stalls;
 
 /// Longest wait for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -66,6 +69,7 @@
     peers: Arc<Peers>,
     owner: Arc<Owner>,
     services: Services,
+    stalls: Arc<Stalls>,
     /// Bounds the requests in progress.
     requests: Arc<Semaphore>,
     /// Bounds the requests that wait for somebody who may serve them.
@@ -73,30 +77,39 @@
 }
 
 /// Serves the callers' port until [`Node::draining`] is set, then lets running requests finish for
-/// at most `settings.daemon.drain`.
+/// at most `settings.daemon.drain` and cuts off the rest.
 pub async fn serve(node: Arc<Node>, peers: Arc<Peers>, owner: Arc<Owner>, listener: TcpListener) {
     let limits = &node.settings.limits;
     let ingress = Arc::new(Ingress {
         requests: Arc::new(Semaphore::new(limits.requests)),
         waiting: Semaphore::new(limits.queue_length),
         services: Services::default(),
+        stalls: Stalls::start(Arc::clone(&node.clock)),
         node: Arc::clone(&node),
         peers,
         owner,
     });
     let connections = TaskTracker::new();
-    accept(&ingress, listener, &connections).await;
+    let cut = CancellationToken::new();
+    accept(&ingress, listener, &connections, &cut).await;
     connections.close();
     if timeout(node.settings.daemon.drain, connections.wait())
         .await
         .is_err()
     {
         log::warn!("Requests were still running at the end of the drain");
+        cut.cancel();
+        connections.wait().await;
     }
 }
 
 /// Accepts connections until the daemon drains. The listener is closed on return.
-async fn accept(ingress: &Arc<Ingress>, listener: TcpListener, connections: &TaskTracker) {
+async fn accept(
+    ingress: &Arc<Ingress>,
+    listener: TcpListener,
+    connections: &TaskTracker,
+    cut: &CancellationToken,
+) {
     let bound = Arc::new(Semaphore::new(ingress.node.settings.limits.connections));
     let turned_away = Arc::new(Semaphore::new(MAX_TURNED_AWAY));
     let mut draining = ingress.node.draining.subscribe();
@@ -110,9 +123,9 @@
             continue;
         };
         if let Ok(permit) = Arc::clone(&bound).try_acquire_owned() {
-            let ingress = Arc::clone(ingress);
+            let (ingress, cut) = (Arc::clone(ingress), cut.clone());
             connections.spawn(async move {
-                ingress.connection(stream).await;
+                cut.run_until_cancelled(ingress.connection(stream)).await;
                 drop(permit);
             });
         } else if let Ok(permit) = Arc::clone(&turned_away).try_acquire_owned() {
@@ -204,7 +217,7 @@
         head.forward.traceparent = hop.traceparent();
         let body = Replay::new(incoming, self.node.settings.limits.max_body_bytes);
         match self.attempts(head, &body).await {
-            Ok(answered) => reply::answer(answered, open, &id),
+            Ok(answered) => reply::answer(answered, open, &self.stalls, &id),
             Err(failure) => {
                 hop.note("failure", || failure.reason.as_str().to_owned());
                 reply::failure(failure, open, &id)
