Learn configuration and target before the daemon joins

Cause: a daemon joined before it knew its target, so after a restart of the fleet three of nine held all shards (trial of the ownership crate). Change: the driver waits up to 1.5 s for configuration and announcement before its first tick.

--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -22,6 +22,10 @@
 /// Longest sleep of the driver when the core asks for no earlier tick.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Longest wait for the configuration and the first announcement of the target at the start. A
+/// target announces itself once a second.
+const START_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Ends the process on a broken invariant. A daemon that may be wrong about what it owns must not
 /// serve; its lease then runs out and its shards get other owners.
 fn require(checked: checker::Result<()>) {
@@ -35,6 +39,7 @@
 impl Control {
     /// Lets the core act at the times it asks for, until the task is dropped.
     pub async fn drive(self: Arc<Self>) {
+        self.await_target().await;
         loop {
             self.feed(Event::Tick);
             let sleep = self.time_to_tick();
@@ -45,6 +50,19 @@
         }
     }
 
+    /// Waits until configuration and target are known, within a bound. A restarted daemon that knows
+    /// its target takes its predecessor's shards over in the swap by which it joins; otherwise they
+    /// would move to others and back.
+    async fn await_target(&self) {
+        let mut deployment = self.node.deployment.subscribe();
+        let mut target = self.node.target.subscribe();
+        let known = async {
+            let _ = deployment.wait_for(|(revision, _)| *revision > 0).await;
+            let _ = target.wait_for(Option::is_some).await;
+        };
+        let _ = tokio::time::timeout(START_WAIT, known).await;
+    }
+
     fn record_deltas(&self, before: &Arc<Table>, deltas: &[Delta]) {
         let mut table = before.clone();
         let config = self.node.deployment.borrow().0;
--- a/crates/ownership/examples/recovery.rs
+++ b/crates/ownership/examples/recovery.rs
@@ -38,6 +38,7 @@
         drift: 0.002,
         drop: 0.0,
         checks: false,
+        grants_checked: true,
         work: 1,
         abandon: 0.0,
     }
