--- a/crates/daemon/tests/ports.rs
+++ b/crates/daemon/tests/ports.rs
@@ -92,6 +92,10 @@
         let _ = stream.read_to_end(&mut rest).await;
     });
     futures_util::future::join_all(closed).await;
+    // A whole handshake, and no message after it.
+    let stream = TcpStream::connect(daemon.peers_port).await.unwrap();
+    let (_send, connection) = h2::client::handshake(stream).await.unwrap();
+    let _ = connection.await;
     let seen = call(daemon.callers, request("GET", "/", &[], "")).await;
     expect_that!(seen.status, eq(404));
 }
