--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -15,20 +15,30 @@
 use super::platform::Kind;
 use super::{Setup, Step, World, ms};
 
-/// A boot-time clock that runs at its own rate.
+/// A boot-time clock that runs at its own rate since some instant.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
+    since: Duration,
     offset: Duration,
     rate: f64,
 }
 
 impl Clock {
     pub fn local(&self, real: Duration) -> Duration {
-        self.offset + real.mul_f64(self.rate)
+        self.offset + real.saturating_sub(self.since).mul_f64(self.rate)
     }
 
     pub fn real(&self, local: Duration) -> Duration {
-        local.saturating_sub(self.offset).div_f64(self.rate)
+        self.since + local.saturating_sub(self.offset).div_f64(self.rate)
+    }
+
+    /// Goes on at another rate.
+    pub fn change(&mut self, now: Duration, rate: f64) {
+        *self = Self {
+            since: now,
+            offset: self.local(now),
+            rate,
+        };
     }
 }
 
@@ -66,6 +76,7 @@
             place: setup.places[at],
             address: SocketAddr::from(([127, 0, 0, 1], 1000 + at as u16)),
             clock: Clock {
+                since: Duration::ZERO,
                 offset: ms(rng.random_range(1_000..100_000)),
                 rate,
             },
@@ -134,7 +145,7 @@
         let report = TargetReport {
             service: "search".into(),
             slots: 6,
-            checks_grants: true,
+            checks_grants: self.setup.grants_checked,
             state: vm.target,
             capacity: 0,
         };
@@ -168,7 +179,15 @@
             vm.asked.remove(&(*lessor, *sequence));
         }
         vm.handled += 1;
-        let effects = core.handle(vm.clock.local(now), event);
+        let local = vm.clock.local(now);
+        let effects = core.handle(local, event);
+        // Guards against a deadline that stays in the past, with which the daemon never sleeps.
+        let deadline = core.next_deadline();
+        let sleeps = deadline.is_none_or(|at| at > local);
+        assert!(
+            sleeps || !effects.is_empty(),
+            "deadline {deadline:?} at {local:?}"
+        );
         let process = vm.process;
         match vm.stall.take_if(|_| !effects.is_empty()) {
             Some((stall, freeze)) => {
