Let long work hold up to 0.8 of the slots by default

Cause: with 0.5, 24% (6 slots) and 35% (9 slots) of long work is late at load 0.8 while slots stand idle (example measure of the policy crate).

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -80,7 +80,7 @@
             non_idempotent: vec!["POST".into(), "PATCH".into()],
             deadline: Duration::from_secs(2),
             targets_check_grants: false,
-            long_share: 0.5,
+            long_share: 0.8,
             queue_length: 200,
             retry_budget: 0.1,
             max_ejected: 0.34,
