Balance undivided services with the class of each request

Change: the ingress learns cost classes by the latency of whole answers and passes class, expected time and target faults to the balancer; the shape of a request is computed in one place.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -10,7 +10,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use masticdeal_policy::Verdict;
+use masticdeal_config::deployment::{KeySource, Service};
+use masticdeal_policy::{Verdict, classes};
 use masticdeal_wire::peer::{Forward, LoadHint, Reason, Versions};
 
 /// Streaming body of a request or an answer.
@@ -185,3 +186,17 @@
         .div_ceil(1_000)
         .min(u128::from(u32::MAX)) as u32
 }
+
+/// Returns what names the cost class of a request, at the ingress and at the owner alike.
+pub fn shape_of<'a>(head: &'a Forward, service: Option<&'a Service>) -> classes::Request<'a> {
+    let key_segment = match service.and_then(|s| s.key.as_ref()) {
+        Some(KeySource::Path(segment)) => Some(*segment),
+        _ => None,
+    };
+    classes::Request {
+        service: service.map_or("", |s| s.name.as_str()),
+        method: &head.method,
+        path: &head.path,
+        key_segment,
+    }
+}
--- a/crates/daemon/src/ingress/balance.rs
+++ b/crates/daemon/src/ingress/balance.rs
@@ -9,6 +9,7 @@
 use masticdeal_ownership::ids::{ServiceId, SessionId};
 use masticdeal_ownership::table::{Session, Table, TargetState};
 use masticdeal_policy::balance::{Balancer, Sent, TargetIx};
+use masticdeal_policy::classes::{self, Class, Classes, Cost, ShapeId};
 use masticdeal_policy::eject::{Ejector, Standing};
 use masticdeal_policy::retry::{self, Budget, BudgetSettings, Decision, Failed};
 use masticdeal_policy::{Outcome, balance, eject};
@@ -45,6 +46,8 @@
 struct State {
     rules: Rules,
     budget: Budget,
+    /// Cost classes as this daemon sees them: by the latency of whole answers.
+    classes: Classes,
     balancer: Balancer,
     ejector: Ejector,
     /// Version of the table that the targets were taken from.
@@ -71,6 +74,7 @@
         let rules = Rules::of(service);
         Self {
             budget: budget(now, rules),
+            classes: Classes::new(classes::Settings::default()),
             balancer: Balancer::new(balance::Settings::default()),
             ejector: ejector(rules, 0),
             rules,
@@ -133,14 +137,14 @@
             .unwrap_or(self.targets.len())
     }
 
-    fn choose(&mut self, now: Duration, tried: &[SessionId]) -> Option<TargetIx> {
+    fn choose(&mut self, now: Duration, cost: Cost, tried: &[SessionId]) -> Option<TargetIx> {
         let (targets, ejector) = (&self.targets, &self.ejector);
         let untried = |ix: TargetIx| !tried.contains(&targets[ix.0 as usize].session);
         let open = |ix: TargetIx| untried(ix) && ejector.standing(now, ix) != Standing::Out;
         let mut rng = rand::rng();
-        let chosen = self.balancer.choose_among(now, &mut rng, open);
+        let chosen = self.balancer.choose_for(now, &mut rng, cost, open);
         // An ejected target is better than none.
-        let chosen = chosen.or_else(|| self.balancer.choose_among(now, &mut rng, untried))?;
+        let chosen = chosen.or_else(|| self.balancer.choose_for(now, &mut rng, cost, untried))?;
         if self.ejector.standing(now, chosen) == Standing::Probe {
             self.ejector.begin_probe(now, chosen);
         }
@@ -188,20 +192,28 @@
         clock: &Arc<dyn Clock>,
         table: &Table,
         service: ServiceId,
+        shape: classes::Request<'_>,
         tried: &[SessionId],
     ) -> Option<Choice> {
         let now = clock.now();
         let mut state = self.lock();
         state.follow(now, table, service);
-        let target = state.choose(now, tried)?;
+        let Class {
+            shape,
+            cost,
+            expected,
+        } = state.classes.classify(now, shape);
+        let target = state.choose(now, cost, tried)?;
         let session = state.targets[target.0 as usize].session;
-        let sent = Some(state.balancer.start(now, target));
+        let expected = expected.map(|e| e.mean);
+        let sent = Some(state.balancer.start_for(now, target, cost, expected));
         let clock = Arc::clone(clock);
         Some(Choice {
             session,
             balance: self.clone(),
             clock,
             sent,
+            shape,
             answered: false,
         })
     }
@@ -241,6 +253,7 @@
     balance: Balance,
     clock: Arc<dyn Clock>,
     sent: Option<Sent>,
+    shape: ShapeId,
     answered: bool,
 }
 
@@ -255,6 +268,9 @@
         let slots = state.targets[target.0 as usize].slots.max(1);
         let load = f64::from(load.running + load.queued) / f64::from(slots);
         state.balancer.report(now, target, load);
+        if outcome == Outcome::TargetFault {
+            state.balancer.fault(now, target);
+        }
         if let Some(change) = state.ejector.record(now, target, outcome) {
             log::warn!(session:% = self.session; "Target standing changed: {change:?}");
         }
@@ -270,10 +286,11 @@
     fn drop(&mut self) {
         if let Some(sent) = self.sent.take() {
             let now = self.clock.now();
-            self.balance
-                .lock()
-                .balancer
-                .finish(now, sent, self.answered);
+            let mut state = self.balance.lock();
+            if self.answered {
+                state.classes.record(now, self.shape, sent.elapsed(now));
+            }
+            state.balancer.finish(now, sent, self.answered);
         }
     }
 }
--- a/crates/daemon/src/ingress/route.rs
+++ b/crates/daemon/src/ingress/route.rs
@@ -9,6 +9,7 @@
 
 use super::balance::{Balance, Choice};
 use super::head::Head;
+use crate::exchange::shape_of;
 use crate::node::Node;
 
 /// Destination of one attempt.
@@ -54,7 +55,13 @@
             (owner, Some(shard), None)
         }
         None => {
-            let choice = balance.choose(&node.clock, &table, service, tried);
+            let choice = balance.choose(
+                &node.clock,
+                &table,
+                service,
+                shape_of(&head.forward, head.service()),
+                tried,
+            );
             let choice = choice.ok_or(failed(Reason::NoTarget))?;
             (choice.session, None, Some(choice))
         }
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use masticdeal_config::deployment::{KeySource, Service};
+use masticdeal_config::deployment::Service;
 use masticdeal_policy::classes::{self, Classes, Cost, ShapeId};
 use masticdeal_policy::limit::{self, Limit};
 use masticdeal_policy::queue::{self, Permit, Queue, Refusal, Refused, Ticket, TicketId};
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::exchange::Failure;
+use crate::exchange::{Failure, shape_of};
 use crate::node::Node;
 use crate::telemetry::metrics::observe;
 
@@ -243,19 +243,6 @@
     }
 }
 
-fn shape_of<'a>(head: &'a Forward, service: Option<&'a Service>) -> classes::Request<'a> {
-    let key_segment = match service.and_then(|s| s.key.as_ref()) {
-        Some(KeySource::Path(segment)) => Some(*segment),
-        _ => None,
-    };
-    classes::Request {
-        service: service.map_or("", |s| s.name.as_str()),
-        method: &head.method,
-        path: &head.path,
-        key_segment,
-    }
-}
-
 fn failure(refusal: Refusal) -> Failure {
     let reason = match refusal.reason {
         queue::Reason::QueueFull => Reason::QueueFull,
