--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -26,8 +26,9 @@
 /// second; an operator's action may take longer.
 const OWNER_WAIT: Duration = Duration::from_secs(3);
 
-/// Time kept back from the deadline for the way back to the caller.
-const RESERVE: Duration = Duration::from_millis(5);
+/// Time before the deadline from which no redirected attempt starts. One that is written and gets
+/// no answer in time turns a certain `NotRun` into `MayHaveRun`.
+const RESERVE: Duration = Duration::from_millis(20);
 
 /// First and longest wait for a newer table before the same place is tried again.
 const REDIRECT_BACKOFF: (Duration, Duration) =
