Use plain names for the lessor's records

Cause: names such as book, duty, forlorn and distant needed explaining to a newcomer. Change: Lessees, Record, without_lessors, jitter_share and Unreachable; no behaviour.

--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -6,7 +6,6 @@
 
 mod api;
 mod core;
-mod distant;
 mod draft;
 mod grants;
 mod learn;
@@ -14,6 +13,7 @@
 mod lessor;
 mod propose;
 mod releases;
+mod unreachable;
 mod writer;
 
 pub use api::{
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -8,10 +8,10 @@
     CoreSettings, Declared, Effect, Event, Held, Identity, MoveBy, Outcome, Renewal, Rule,
     TargetReport,
 };
-use super::distant::Distant;
 use super::lessee::Lessee;
-use super::lessor::Book;
+use super::lessor::Lessees;
 use super::releases::{KeyRelease, Purpose, Releases};
+use super::unreachable::Unreachable;
 use super::writer::Writer;
 use crate::chart::{Machine, SESSION};
 use crate::ids::{Epoch, ServiceId, SessionId, ShardId};
@@ -40,7 +40,7 @@
     pub(super) life: Machine,
     pub(super) session: Option<SessionId>,
     pub(super) lessee: Lessee,
-    pub(super) book: Book,
+    pub(super) lessees: Lessees,
     pub(super) writer: Writer,
     pub(super) releases: Releases,
     pub(super) queue: Vec<Queued>,
@@ -56,13 +56,13 @@
     /// Sessions that did not renew lately, with the end of the suspicion.
     pub(super) suspects: BTreeMap<SessionId, Duration>,
     /// Lessors that did not renew, by data centre.
-    pub(super) distant: Distant,
+    pub(super) unreachable: Unreachable,
     /// Sessions whose lessors have all ended, with the time at which that was seen.
-    pub(super) forlorn: BTreeMap<SessionId, (u32, Duration)>,
+    pub(super) without_lessors: BTreeMap<SessionId, (u32, Duration)>,
     /// Time at which the newest table was learned.
     pub(super) learned_at: Duration,
     /// Random share between 0 and 1, drawn with each table, that spreads optional swaps.
-    pub(super) noise: f64,
+    pub(super) jitter_share: f64,
     pub(super) orphans: bool,
     pub(super) prefers_other: bool,
     /// Time before which no change of lessors is tried again.
@@ -87,7 +87,7 @@
             life: Machine::new(&SESSION),
             session: None,
             lessee: Lessee::default(),
-            book: Book::default(),
+            lessees: Lessees::default(),
             releases: Releases::default(),
             queue: Vec::new(),
             target: None,
@@ -97,10 +97,10 @@
             settling: BTreeMap::new(),
             owned: Vec::new(),
             suspects: BTreeMap::new(),
-            distant: Distant::default(),
-            forlorn: BTreeMap::new(),
+            unreachable: Unreachable::default(),
+            without_lessors: BTreeMap::new(),
             learned_at: Duration::ZERO,
-            noise: 0.0,
+            jitter_share: 0.0,
             orphans: false,
             prefers_other: false,
             lessor_hold: Duration::ZERO,
@@ -165,7 +165,7 @@
                 if granted {
                     if self.lessee.renewed(now, lessor, sequence, &self.settings) {
                         self.suspects.remove(&lessor);
-                        self.distant.heard(&self.table, lessor);
+                        self.unreachable.heard(&self.table, lessor);
                         self.effects.push(Effect::GrantsChanged);
                     }
                 } else {
@@ -178,7 +178,7 @@
             }
             Event::ExpiredRequest(expiry) => {
                 let asked = self.session == Some(expiry.to);
-                let committed = asked && self.book.confirm(now, &expiry, &self.settings);
+                let committed = asked && self.lessees.confirm(now, &expiry, &self.settings);
                 self.effects.push(Effect::ReplyExpired {
                     expiry,
                     committed,
@@ -192,7 +192,7 @@
                 version,
             } => {
                 if committed && self.session == Some(expiry.from) {
-                    self.book.confirmed(&expiry);
+                    self.lessees.confirmed(&expiry);
                 }
                 self.note_version(expiry.to, version);
             }
@@ -263,7 +263,7 @@
         let granted = mine
             && live
             && self
-                .book
+                .lessees
                 .grant(now, renewal.lessee, renewal.term, &self.settings);
         self.effects.push(Effect::ReplyRenew {
             renewal,
@@ -290,7 +290,7 @@
         let table = self.table.clone();
         for s in table.sessions.iter().filter(|s| s.vm == vm) {
             let mine = self.session == Some(s.id);
-            if mine || self.book.renewed_lately(now, s.id, &self.settings) {
+            if mine || self.lessees.renewed_lately(now, s.id, &self.settings) {
                 self.journal(What::Refused(Refusal::NotLost(vm.to_owned())));
             } else if !self.lost.contains(&s.id) {
                 self.lost.push(s.id);
--- a/crates/ownership/src/lease/draft.rs
+++ b/crates/ownership/src/lease/draft.rs
@@ -117,7 +117,7 @@
         for link in &self.lessee.links {
             if now >= link.silent_at(&self.settings) {
                 self.suspects.insert(link.lessor, now + SUSPICION);
-                self.distant.silent(now, &self.table, link.lessor);
+                self.unreachable.silent(now, &self.table, link.lessor);
             }
         }
     }
@@ -126,11 +126,11 @@
     /// its data centre seems to be out of reach.
     pub(super) fn unlikely_lessor(&self, now: Duration, id: SessionId) -> bool {
         let home = (&*self.me.region, &*self.me.data_centre);
-        self.suspicious(now, id) || self.distant.covers(now, &self.table, home, id)
+        self.suspicious(now, id) || self.unreachable.covers(now, &self.table, home, id)
     }
 
     fn suspicious(&self, now: Duration, id: SessionId) -> bool {
-        self.suspects.contains_key(&id) || self.book.suspects(now, id, &self.settings)
+        self.suspects.contains_key(&id) || self.lessees.suspects(now, id, &self.settings)
     }
 
     fn draft_join(&mut self, now: Duration, draft: &mut Draft) -> Option<()> {
@@ -176,9 +176,9 @@
     }
 
     fn draft_ends(&mut self, now: Duration, draft: &mut Draft) {
-        for (&lessee, duty) in &self.book.duties {
-            let due = duty.end_at(&self.settings).is_some_and(|at| at <= now);
-            if due && draft.end(lessee, duty.term, EndCause::LeaseExpired) {
+        for (&lessee, record) in &self.lessees.records {
+            let due = record.end_at(&self.settings).is_some_and(|at| at <= now);
+            if due && draft.end(lessee, record.term, EndCause::LeaseExpired) {
                 draft.ends.push(lessee);
             }
         }
@@ -256,7 +256,7 @@
 
     /// Names new lessors for sessions whose lessors have all ended (R5), itself among them.
     fn draft_adoptions(&mut self, now: Duration, me: SessionId, draft: &mut Draft) {
-        for (&id, &(term, seen)) in &self.forlorn {
+        for (&id, &(term, seen)) in &self.without_lessors {
             let Some(lessee) = draft.table.session(id) else {
                 continue;
             };
--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -120,7 +120,7 @@
             Some(_) => None,
             None => due.filter(|_| !reading),
         };
-        let asks = self.book.ask_at(&self.settings);
+        let asks = self.lessees.ask_at(&self.settings);
         let asks = asks.map(|at| at.max(not_before)).filter(|_| !reading);
         let settled = self.settling.values().copied().min();
         [
--- a/crates/ownership/src/lease/learn.rs
+++ b/crates/ownership/src/lease/learn.rs
@@ -57,7 +57,7 @@
         let old = std::mem::replace(&mut self.table, table.clone());
         self.informed = true;
         self.learned_at = now;
-        self.noise = self.writer.jitter(Duration::from_secs(1)).as_secs_f64();
+        self.jitter_share = self.writer.jitter(Duration::from_secs(1)).as_secs_f64();
         let settled = self.writer.settle(&table);
         let pending = settled.and_then(|_| self.writer.finish());
         self.adopt_session(now);
@@ -67,7 +67,8 @@
         } else if let Some(delta) = delta {
             self.journal_delta(&old, delta);
         }
-        self.book.adopt(now, self.session, &table, &self.settings);
+        self.lessees
+            .adopt(now, self.session, &table, &self.settings);
         self.releases.adopt(self.session, &table);
         self.adopt_shards(now, &old, delta);
         self.adopt_hints(now);
@@ -204,11 +205,11 @@
     fn adopt_hints(&mut self, now: Duration) {
         let table = self.table.clone();
         self.orphans = spread::any_orphan(&table);
-        let forlorn = table.sessions.iter().filter(|s| {
+        let without_lessors = table.sessions.iter().filter(|s| {
             Some(s.id) != self.session && s.lessors.iter().all(|l| table.session(*l).is_none())
         });
-        let known = std::mem::take(&mut self.forlorn);
-        self.forlorn = forlorn
+        let known = std::mem::take(&mut self.without_lessors);
+        self.without_lessors = without_lessors
             .map(|s| {
                 let same = known.get(&s.id).filter(|(term, _)| *term == s.term);
                 (s.id, same.copied().unwrap_or((s.term, now)))
--- a/crates/ownership/src/lease/lessor.rs
+++ b/crates/ownership/src/lease/lessor.rs
@@ -10,7 +10,7 @@
 
 /// What a lessor knows of one lessee in its current term.
 #[derive(Debug, Clone)]
-pub(super) struct Duty {
+pub(super) struct Record {
     pub term: u32,
     seen_at: Duration,
     granted_at: Option<Duration>,
@@ -22,7 +22,7 @@
     asked_at: Option<Duration>,
 }
 
-impl Duty {
+impl Record {
     fn new(now: Duration, me: SessionId, lessee: &Session) -> Self {
         let others = lessee.lessors.iter().copied().filter(|id| *id != me);
         Self {
@@ -74,13 +74,13 @@
     }
 }
 
-/// All duties of this daemon's session.
+/// All records of this daemon's session.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Book {
-    pub duties: BTreeMap<SessionId, Duty>,
+pub(super) struct Lessees {
+    pub records: BTreeMap<SessionId, Record>,
 }
 
-impl Book {
+impl Lessees {
     /// Takes over what the newest table says of the lessees of `me`.
     pub fn adopt(
         &mut self,
@@ -89,24 +89,24 @@
         table: &Table,
         settings: &CoreSettings,
     ) {
-        let mut old = std::mem::take(&mut self.duties);
+        let mut old = std::mem::take(&mut self.records);
         let Some(me) = me else { return };
         for lessee in table.sessions.iter().filter(|s| s.lessors.contains(&me)) {
             let known = old.remove(&lessee.id);
-            let mut duty = match known {
-                Some(duty) if duty.term == lessee.term => duty,
-                Some(duty) if settings.without == Some(Rule::FullLeaseOnNewTerm) => Duty {
-                    granted_at: duty.granted_at,
-                    ..Duty::new(now, me, lessee)
+            let mut record = match known {
+                Some(record) if record.term == lessee.term => record,
+                Some(record) if settings.without == Some(Rule::FullLeaseOnNewTerm) => Record {
+                    granted_at: record.granted_at,
+                    ..Record::new(now, me, lessee)
                 },
-                _ => Duty::new(now, me, lessee),
+                _ => Record::new(now, me, lessee),
             };
-            for &other in &duty.others {
+            for &other in &record.others {
                 if table.session(other).is_none() {
-                    duty.ended.entry(other).or_insert(now);
+                    record.ended.entry(other).or_insert(now);
                 }
             }
-            self.duties.insert(lessee.id, duty);
+            self.records.insert(lessee.id, record);
         }
     }
 
@@ -119,55 +119,55 @@
         settings: &CoreSettings,
     ) -> bool {
         let open = settings.without == Some(Rule::NamedLessors);
-        let Some(duty) = self.duties.get_mut(&lessee) else {
+        let Some(record) = self.records.get_mut(&lessee) else {
             return open;
         };
-        let committed = duty.committed && settings.without != Some(Rule::NoGrantAfterCommit);
-        if committed || (duty.term != term && !open) {
+        let committed = record.committed && settings.without != Some(Rule::NoGrantAfterCommit);
+        if committed || (record.term != term && !open) {
             return false;
         }
-        duty.granted_at = Some(now);
+        record.granted_at = Some(now);
         true
     }
 
     /// Answers the other lessor; commits when the lessee is counted out here as well.
     pub fn confirm(&mut self, now: Duration, ask: &Expiry, settings: &CoreSettings) -> bool {
-        let Some(duty) = self.duties.get_mut(&ask.lessee) else {
+        let Some(record) = self.records.get_mut(&ask.lessee) else {
             return false;
         };
-        if duty.term != ask.term || !duty.others.contains(&ask.from) {
+        if record.term != ask.term || !record.others.contains(&ask.from) {
             return false;
         }
-        if now >= duty.out_at(settings) {
-            duty.committed = true;
+        if now >= record.out_at(settings) {
+            record.committed = true;
         }
-        duty.committed
+        record.committed
     }
 
     /// Records the commitment of the other lessor.
     pub fn confirmed(&mut self, ask: &Expiry) {
-        if let Some(duty) = self.duties.get_mut(&ask.lessee)
-            && duty.term == ask.term
+        if let Some(record) = self.records.get_mut(&ask.lessee)
+            && record.term == ask.term
         {
-            duty.confirmed.insert(ask.to);
+            record.confirmed.insert(ask.to);
         }
     }
 
     /// Commits to the end of a lessee.
     pub fn commit(&mut self, lessee: SessionId) {
-        if let Some(duty) = self.duties.get_mut(&lessee) {
-            duty.committed = true;
+        if let Some(record) = self.records.get_mut(&lessee) {
+            record.committed = true;
         }
     }
 
     /// Time from which another lessor has to be asked; `None` when there is nothing to ask.
     pub fn ask_at(&self, settings: &CoreSettings) -> Option<Duration> {
-        let open = |d: &&Duty| d.unconfirmed().next().is_some();
-        let due = |d: &Duty| {
+        let open = |d: &&Record| d.unconfirmed().next().is_some();
+        let due = |d: &Record| {
             let again = d.asked_at.map_or(Duration::ZERO, |at| at + settings.renew);
             d.out_at(settings).max(again)
         };
-        self.duties.values().filter(open).map(due).min()
+        self.records.values().filter(open).map(due).min()
     }
 
     /// Returns whom to ask about which lessee and term, and notes that they are asked now.
@@ -177,15 +177,19 @@
         settings: &CoreSettings,
     ) -> Vec<(SessionId, SessionId, u32)> {
         let mut asks = Vec::new();
-        for (&lessee, duty) in &mut self.duties {
-            let waited = duty.asked_at.is_none_or(|at| now >= at + settings.renew);
-            if now < duty.out_at(settings) || !waited {
+        for (&lessee, record) in &mut self.records {
+            let waited = record.asked_at.is_none_or(|at| now >= at + settings.renew);
+            if now < record.out_at(settings) || !waited {
                 continue;
             }
             let before = asks.len();
-            asks.extend(duty.unconfirmed().map(|other| (other, lessee, duty.term)));
+            asks.extend(
+                record
+                    .unconfirmed()
+                    .map(|other| (other, lessee, record.term)),
+            );
             if asks.len() > before {
-                duty.asked_at = Some(now);
+                record.asked_at = Some(now);
             }
         }
         asks
@@ -198,13 +202,13 @@
         lessee: SessionId,
         settings: &CoreSettings,
     ) -> bool {
-        let duty = self.duties.get(&lessee);
-        duty.is_some_and(|d| d.granted_at.is_some() && now < d.out_at(settings))
+        let record = self.records.get(&lessee);
+        record.is_some_and(|d| d.granted_at.is_some() && now < d.out_at(settings))
     }
 
     /// Tells whether a lessee has missed a renewal.
     pub fn suspects(&self, now: Duration, lessee: SessionId, settings: &CoreSettings) -> bool {
-        let duty = self.duties.get(&lessee);
-        duty.is_some_and(|d| now + settings.lease / 2 >= d.out_at(settings))
+        let record = self.records.get(&lessee);
+        record.is_some_and(|d| now + settings.lease / 2 >= d.out_at(settings))
     }
 }
--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -65,7 +65,11 @@
     /// answer commits them, and a commitment that no swap can follow would only stop the lessee.
     fn ask_lessors(&mut self, now: Duration) {
         let Some(from) = self.session else { return };
-        if self.book.ask_at(&self.settings).is_none_or(|at| now < at) {
+        if self
+            .lessees
+            .ask_at(&self.settings)
+            .is_none_or(|at| now < at)
+        {
             return;
         }
         if !self.writer.platform_answers(now, &self.settings) {
@@ -75,7 +79,7 @@
             return;
         }
         let version = self.table.version;
-        for (to, lessee, term) in self.book.asks(now, &self.settings) {
+        for (to, lessee, term) in self.lessees.asks(now, &self.settings) {
             self.effects.push(Effect::SendExpired(Expiry {
                 from,
                 to,
@@ -147,12 +151,12 @@
         let own = self.table.session(me)?;
         let spread = self.spread();
         let ends = self
-            .book
-            .duties
+            .lessees
+            .records
             .values()
             .filter_map(|d| d.end_at(&self.settings));
         let adoptions = self
-            .forlorn
+            .without_lessors
             .values()
             .map(|(_, seen)| *seen + self.settings.lease / 2 + spread);
         let now = Duration::ZERO;
@@ -175,7 +179,7 @@
 
     /// Random share of the time that all sessions together take for a swap each.
     fn spread(&self) -> Duration {
-        (SWAP_TIME * self.table.sessions.len() as u32).mul_f64(self.noise)
+        (SWAP_TIME * self.table.sessions.len() as u32).mul_f64(self.jitter_share)
     }
 
     fn join_at(&self) -> Option<Duration> {
@@ -339,7 +343,7 @@
             return;
         }
         for &lessee in &draft.ends {
-            self.book.commit(lessee);
+            self.lessees.commit(lessee);
         }
         self.lessee.changing_to = draft.new_lessors;
         if self.session.is_none() && self.life.state() == "outside" {
--- a/crates/ownership/src/lease/distant.rs
+++ b/crates/ownership/src/lease/unreachable.rs
@@ -26,11 +26,11 @@
 
 /// Silent lessors by region and data centre.
 #[derive(Debug, Default)]
-pub(super) struct Distant {
+pub(super) struct Unreachable {
     places: BTreeMap<(String, String), Silent>,
 }
 
-impl Distant {
+impl Unreachable {
     /// Records that a lessor did not renew.
     pub fn silent(&mut self, now: Duration, table: &Table, lessor: SessionId) {
         let Some(session) = table.session(lessor) else {
