--- a/crates/daemon/src/ingress/head.rs
+++ b/crates/daemon/src/ingress/head.rs
@@ -39,7 +39,10 @@
     /// A failure with verdict `NotRun` and the reason.
     pub fn check(node: &Node, parts: &Parts, request_id: &str) -> Result<Self, Failure> {
         check_shape(node, parts)?;
-        let rules = Arc::clone(&node.deployment.borrow().1);
+        let (revision, rules) = node.deployment.borrow().clone();
+        if revision == 0 {
+            return Err(Failure::not_run(Reason::NotReady));
+        }
         let path = parts.uri.path();
         let service = rules
             .route(path)
--- a/crates/daemon/tests/verdicts.rs
+++ b/crates/daemon/tests/verdicts.rs
@@ -152,6 +152,22 @@
     expect_that!(target.count(), eq(0));
 }
 
+/// Guards against an answer that looks final (404) from a daemon that only lacks its configuration.
+#[gtest]
+#[tokio::test]
+async fn a_daemon_without_configuration_is_not_ready() {
+    let target = Target::start(Script::Echo).await;
+    let (ingress, _owner) = pair(target.address, |_| {}).await;
+    ingress.node.deployment.send_replace((0, Arc::default()));
+    let seen = call(
+        ingress.callers,
+        request("GET", "/search/1", &[], String::new()),
+    )
+    .await;
+    expect_that!(seen.failure(), eq((503, "NotRun", "not-ready")));
+    expect_that!(target.count(), eq(0));
+}
+
 /// Guards against a request that reaches the target after the right to serve it was lost. The
 /// right goes away after each of the four checks in turn; the last one is directly before the
 /// write.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -277,6 +277,8 @@
     TooManyRequests,
     /// Too many connections of callers are open.
     TooManyConnections,
+    /// The daemon has no configuration yet.
+    NotReady,
 }
 
 impl Reason {
@@ -305,6 +307,7 @@
             Self::HeadersTooLarge => "headers-too-large",
             Self::TooManyRequests => "too-many-requests",
             Self::TooManyConnections => "too-many-connections",
+            Self::NotReady => "not-ready",
         }
     }
 }
