--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -39,7 +39,6 @@
 impl Control {
     /// Lets the core act at the times it asks for, until the task is dropped.
     pub async fn drive(self: Arc<Self>) {
-        self.await_target().await;
         loop {
             self.feed(Event::Tick);
             let sleep = self.time_to_tick();
@@ -297,7 +296,12 @@
         }
     }
 
+    /// Reads the table for the core. The first read waits for the target: the core joins on what it
+    /// read, so the wait holds the join up and nothing else.
     async fn read_table(self: Arc<Self>, read: u64) {
+        self.target_awaited
+            .get_or_init(|| self.await_target())
+            .await;
         let table = match self.tables.read().await {
             Ok(table) => Some(Arc::new(table)),
             Err(e) => {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -39,7 +39,7 @@
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_ownership::lease::Core;
 use masticdeal_wire::peer::{News, Versions};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OnceCell, watch};
 
 use crate::node::Node;
 use crate::operators::journal::{DEFAULT_BUDGET, Journal};
@@ -74,6 +74,7 @@
     census: tokio::sync::Mutex<Census>,
     planning: watch::Sender<bool>,
     placed: AtomicBool,
+    target_awaited: OnceCell<()>,
     wake: Notify,
     grants_changed: Notify,
     grant_sequence: tokio::sync::Mutex<u64>,
@@ -99,6 +100,7 @@
             census: tokio::sync::Mutex::default(),
             planning: watch::Sender::new(false),
             placed: AtomicBool::new(false),
+            target_awaited: OnceCell::new(),
             wake: Notify::new(),
             grants_changed: Notify::new(),
             grant_sequence: tokio::sync::Mutex::new(0),
