--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -56,6 +56,12 @@
 
 impl std::error::Error for Error {}
 
+/// the configuration cannot be read: {0}
+#[derive(Debug, Display)]
+pub struct NotRead(String);
+
+impl std::error::Error for NotRead {}
+
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -116,9 +122,9 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Unavailable`] when the service does not answer.
-    pub async fn refresh(&self) -> Result<bool> {
-        let stored = self.read().await.map_err(Error::Unavailable)?;
+    /// [`NotRead`] when the service does not answer.
+    pub async fn refresh(&self) -> Result<bool, NotRead> {
+        let stored = self.read().await.map_err(NotRead)?;
         Ok(self.learn(&stored.value))
     }
 
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -140,7 +140,7 @@
     pub async fn load_config(self: Arc<Self>) {
         while self.config.current().revision == 0 {
             if let Err(e) = self.config.refresh().await {
-                log::warn!("configuration is not read: {e}");
+                log::warn!("{e}");
                 self.start_from_peers().await;
             }
             tokio::time::sleep(RETRY).await;
