--- a/crates/daemon/src/control/census.rs
+++ b/crates/daemon/src/control/census.rs
@@ -78,14 +78,14 @@
             versions: self.node.versions(),
         };
         if Some(session) == self.session() {
-            return (session, Some(self.load_report(ask)));
+            return (session, Some(self.load_report()));
         }
         let report = self.call(session, PATH_LOAD, &ask, TIMEOUT).await;
         (session, report)
     }
 
     /// Returns the load of what this daemon owns.
-    pub(super) fn load_report(&self, _ask: LoadAsk) -> LoadReport {
+    pub(super) fn load_report(&self) -> LoadReport {
         let rates = self.node.meter.rates(self.node.clock.now());
         LoadReport {
             load: self.owner.load(),
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -67,10 +67,16 @@
         let config = self.node.deployment.borrow().0;
         let time_ms = super::unix_ms();
         let mut journal = self.journal.lock().unwrap();
-        for delta in deltas.iter().filter(|delta| delta.to > before.version) {
+        let newer = deltas.iter().filter(|delta| delta.to > before.version);
+        let mut newer = newer.peekable();
+        while let Some(delta) = newer.next() {
             let cause = self.reasons.lock().unwrap().cause(delta.to);
             let entries = from_delta::entries(&table, delta, config, time_ms, cause.as_ref());
             entries.into_iter().for_each(|entry| journal.record(entry));
+            // Applying copies the whole table, so only what a further delta needs is applied.
+            if newer.peek().is_none() {
+                return;
+            }
             match table.apply(delta) {
                 Ok(next) => table = Arc::new(next),
                 Err(_) => return,
--- a/crates/daemon/src/control/grants.rs
+++ b/crates/daemon/src/control/grants.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticdeal_ownership::ids::{Epoch, ServiceId, ShardId};
+use masticdeal_ownership::ids::{Epoch, ServiceId};
 use masticdeal_ownership::lease::{Event, Grants, Held, override_shard};
 use masticdeal_wire::target::Grant;
 
@@ -65,7 +65,7 @@
             self.feed(Event::MoveAbandoned(held));
             return;
         }
-        self.take_back(held.shard).await;
+        self.take_back().await;
         self.feed(Event::ShardDrained(held));
     }
 
@@ -76,7 +76,7 @@
     ) {
         let shard = override_shard(key_hash);
         self.owner.drained(service, shard).await;
-        self.take_back(shard).await;
+        self.take_back().await;
         self.feed(Event::KeyDrained {
             service,
             key_hash,
@@ -94,9 +94,9 @@
         }
     }
 
-    /// Returns once the target has confirmed a grant without the shard, or its last grant has run
-    /// out.
-    async fn take_back(&self, _shard: ShardId) {
+    /// Returns once the target has confirmed a grant without what the core has released, or its last
+    /// grant has run out.
+    async fn take_back(&self) {
         let lapsed = self.node.clock.now() + self.node.settings.lease.length;
         while self.node.clock.now() < lapsed {
             if self.send_grants().await {
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -52,8 +52,8 @@
             }
             headers::PATH_RELEASE => encode(&self.on_release(decode(frame)?)),
             headers::PATH_LOAD => {
-                let ask: LoadAsk = decode(frame)?;
-                encode(&self.load_report(ask))
+                let _: LoadAsk = decode(frame)?;
+                encode(&self.load_report())
             }
             other => Err(Error::UnknownPath(other)),
         }
--- a/crates/daemon/src/operators/from_delta.rs
+++ b/crates/daemon/src/operators/from_delta.rs
@@ -12,7 +12,7 @@
 use masticdeal_ownership::table::{Table, TargetInfo, TargetState};
 use masticdeal_wire::peer::Versions;
 
-use super::journal::{Cause, EndWord, Entry, ShardSet, TargetWord, What};
+use super::journal::{Cause, EndWord, Entry, ShardSet, TargetWord, What, dated};
 
 /// Returns the decisions of `delta`, which was applied to `before`.
 ///
@@ -35,13 +35,7 @@
         table: delta.to,
         config,
     };
-    let entry = |(what, cause)| Entry {
-        time_ms,
-        versions,
-        what,
-        cause,
-    };
-    decided.into_iter().map(entry).collect()
+    dated(decided, versions, time_ms)
 }
 
 /// Reads the changes in order and keeps what later ones refer to.
--- a/crates/daemon/src/operators/journal.rs
+++ b/crates/daemon/src/operators/journal.rs
@@ -260,6 +260,21 @@
     }
 }
 
+/// Returns the entries of decisions that were made together.
+pub(super) fn dated(
+    decided: impl IntoIterator<Item = (What, Cause)>,
+    versions: Versions,
+    time_ms: u64,
+) -> Vec<Entry> {
+    let entry = |(what, cause)| Entry {
+        time_ms,
+        versions,
+        what,
+        cause,
+    };
+    decided.into_iter().map(entry).collect()
+}
+
 impl Entry {
     /// Returns the memory of the entry in bytes, without shared names.
     fn cost(&self) -> usize {
--- a/crates/daemon/src/operators/learned.rs
+++ b/crates/daemon/src/operators/learned.rs
@@ -13,7 +13,7 @@
 use masticdeal_wire::peer::{ConfigValue, Versions};
 
 use super::from_delta::word;
-use super::journal::{Cause, Differences, EndWord, Entry, ShardSet, What};
+use super::journal::{Cause, Differences, EndWord, Entry, ShardSet, What, dated};
 
 /// Most differences of a configuration that an entry keeps.
 const MAX_DIFFERENCES: usize = 32;
@@ -39,13 +39,7 @@
         table: after.version,
         config,
     };
-    let entry = |(what, cause)| Entry {
-        time_ms,
-        versions,
-        what,
-        cause,
-    };
-    decided.into_iter().map(entry).collect()
+    dated(decided, versions, time_ms)
 }
 
 /// Returns the entry of a configuration that came into force.
