--- a/crates/bench/src/target.rs
+++ b/crates/bench/src/target.rs
@@ -264,6 +264,8 @@
             checks_grants: self.settings.checks_grants,
             state,
             load: Some(if self.settings.lies { 0.0 } else { load }),
+            instance: String::new(),
+            life: 0,
         }
     }
 
--- a/crates/bench/tests/platform.rs
+++ b/crates/bench/tests/platform.rs
@@ -23,6 +23,7 @@
     let client = Client::new(Settings {
         address,
         timeout: SECOND,
+        ..Settings::default()
     });
     Service { client, address }
 }
@@ -129,12 +130,12 @@
         tokio::task::yield_now().await;
     }
     s.client.swap("k", 0, Bytes::from("v"), None).await;
-    let seen = waiting.await.unwrap().unwrap().unwrap();
+    let seen = waiting.await.unwrap().unwrap().value.unwrap();
     assert_that!(seen.bytes, eq(&Bytes::from("v")));
     let none_newer = s
         .client
         .watch("k", seen.revision, Duration::from_millis(10));
-    assert_that!(none_newer.await.unwrap(), none());
+    assert_that!(none_newer.await.unwrap().value, none());
     let stats = s.stats().await;
     assert_that!((stats.watch, stats.swap, stats.calls()), eq((2, 1, 3)));
 }
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -15,10 +15,44 @@
 pub struct Deployment {
     /// Services in the order of the text.
     pub services: Vec<Service>,
+    /// Routes. With none, the path prefixes of the services decide.
+    pub routes: Vec<Route>,
     /// Rules for all services.
     pub rules: Rules,
 }
 
+/// Requests of one host and path prefix, and where they go.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Host that the request names; the port is not compared.
+    pub host: String,
+    /// Path prefix, which begins and ends with a slash. The longest that fits decides.
+    pub prefix: String,
+    /// Services that share the requests, by weight. A weight of 0 gets none.
+    pub parts: Vec<Part>,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time for a request.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most; zero when there is none.
+    pub objective: Duration,
+    /// Most targets that one request may be sent to.
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
+}
+
+/// A service's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// Name of the service.
+    pub service: String,
+    /// Weight.
+    pub weight: u32,
+}
+
 /// One service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -55,8 +89,16 @@
     Query(String),
     /// Header, in lower case.
     Header(String),
+    /// Header, in lower case, with a number from 0 to 65535. Shards are ranges of such numbers, so
+    /// that a target can be granted whole ranges.
+    Number(String),
 }
 
+/// Shards of a service whose keys are numbers, unless the configuration says otherwise. Busy keys
+/// lie close together, so a shard is small against a target's part; a grant names at most one range
+/// for each.
+pub const RANGE_SHARDS: u32 = 128;
+
 /// Rules for all services.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rules {
@@ -88,6 +130,22 @@
     }
 }
 
+impl Default for Route {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            host: String::new(),
+            prefix: "/".into(),
+            parts: Vec::new(),
+            idempotent: false,
+            timeout: Duration::from_secs(2),
+            objective: Duration::ZERO,
+            attempts: 1,
+            rank: 0,
+        }
+    }
+}
+
 impl Default for Rules {
     fn default() -> Self {
         Self {
--- a/crates/config/src/deployment_read.rs
+++ b/crates/config/src/deployment_read.rs
@@ -32,7 +32,7 @@
 ];
 
 const SECTION_FORMS: &str = "expected [service NAME] or [rules]";
-const KEY_FORMS: &str = "path N with N from 1 to 32, query NAME, or header NAME";
+const KEY_FORMS: &str = "path N with N from 1 to 32, query NAME, number NAME, or header NAME";
 
 /// Most paths of one service; each request is compared with all of them.
 const MAX_PATHS: usize = 64;
@@ -237,6 +237,7 @@
         }
         "query" => Some(KeySource::Query(name.into())),
         "header" => Some(KeySource::Header(name.to_ascii_lowercase())),
+        "number" => Some(KeySource::Number(name.to_ascii_lowercase())),
         _ => None,
     }
 }
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -29,6 +29,19 @@
     pub problem: Problem,
 }
 
+impl Fault {
+    /// Makes a fault of a whole text.
+    pub fn of_text(message: impl Into<String>) -> Self {
+        Self {
+            file: String::new(),
+            line: 0,
+            section: String::new(),
+            key: String::new(),
+            problem: Problem::Contradiction(message.into()),
+        }
+    }
+}
+
 /// What is wrong at a place.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 #[non_exhaustive]
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -120,6 +120,13 @@
         *into = Duration::from_millis(value);
     }
 
+    /// Reads a duration in seconds with fractions, as an alternative to a key in milliseconds.
+    pub(crate) fn seconds(&mut self, key: &str, bounds: RangeInclusive<f64>, into: &mut Duration) {
+        let mut value = into.as_secs_f64();
+        self.number(key, bounds, " seconds", &mut value);
+        *into = Duration::from_secs_f64(value);
+    }
+
     /// Reads `yes` or `no`.
     pub(crate) fn flag(&mut self, key: &str, into: &mut bool) {
         let Some(entry) = self.entry(key) else { return };
--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -29,6 +29,7 @@
             Self::Path(segment) => write!(f, "path {segment}"),
             Self::Query(name) => write!(f, "query {name}"),
             Self::Header(name) => write!(f, "header {name}"),
+            Self::Number(name) => write!(f, "number {name}"),
         }
     }
 }
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -2,10 +2,42 @@
 
 use std::borrow::Cow;
 
-use crate::deployment::{Deployment, KeySource, Service};
+use crate::deployment::{Deployment, KeySource, Route, Service};
 use crate::deployment_read::METHODS;
 
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Matched<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// The route; `None` when a path prefix of the service decided.
+    pub route: Option<&'a Route>,
+}
+
 impl Deployment {
+    /// Returns where a request of this host and path goes. `draw` is uniform in 0 to 1 and decides
+    /// between the services that share a route.
+    ///
+    /// `host` is the raw header; `path` is the raw path without the query.
+    pub fn resolve(&self, host: &str, path: &str, draw: f64) -> Option<Matched<'_>> {
+        if self.routes.is_empty() {
+            let service = self.route(path)?;
+            return Some(Matched {
+                service,
+                route: None,
+            });
+        }
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let fits = |r: &&Route| path.starts_with(&r.prefix) && r.host.eq_ignore_ascii_case(host);
+        let routes = self.routes.iter().filter(fits);
+        let route = routes.max_by_key(|r| r.prefix.len())?;
+        let service = self.service(route.draw(draw)?)?;
+        Some(Matched {
+            service,
+            route: Some(route),
+        })
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|s| s.name == name)
@@ -29,6 +61,24 @@
     }
 }
 
+impl Route {
+    /// Returns the service to which a request goes; `draw` is uniform in 0 to 1.
+    fn draw(&self, draw: f64) -> Option<&str> {
+        let total: u64 = self.parts.iter().map(|p| u64::from(p.weight)).sum();
+        let mut left = draw * total as f64;
+        let weighted = self.parts.iter().filter(|p| p.weight > 0);
+        let mut last = None;
+        for part in weighted {
+            last = Some(part.service.as_str());
+            left -= f64::from(part.weight);
+            if left < 0.0 {
+                break;
+            }
+        }
+        last
+    }
+}
+
 fn fits(prefix: &str, path: &str) -> bool {
     match path.strip_prefix(prefix) {
         Some(rest) => rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'),
@@ -55,11 +105,18 @@
         let key = match self.key.as_ref()? {
             KeySource::Path(segment) => path_key(path, *segment)?,
             KeySource::Query(name) => query_key(query?, name)?,
-            KeySource::Header(name) => Cow::Borrowed(header(name)?.trim()),
+            KeySource::Header(name) | KeySource::Number(name) => {
+                Cow::Borrowed(header(name)?.trim())
+            }
         };
         (!key.is_empty()).then_some(key)
     }
 
+    /// Returns whether the keys are numbers.
+    pub fn has_number_keys(&self) -> bool {
+        matches!(self.key, Some(KeySource::Number(_)))
+    }
+
     /// Returns whether a request with this method may run more than once.
     ///
     /// `idempotent` is the value of the header by which the caller decides: `yes` or `no`. Any
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -22,6 +22,10 @@
     pub secret: Secret,
     /// Section `[log]`.
     pub log: Log,
+    /// Section `[target]`.
+    pub target: Target,
+    /// Section `[retries]`.
+    pub retries: Retries,
 }
 
 /// Who the daemon is.
@@ -33,8 +37,13 @@
     pub region: String,
     /// Data centre of the VM.
     pub data_centre: String,
+    /// Threads: 1 for a VM whose share of a core leaves no use for more, 0 for one per core.
+    pub threads: usize,
     /// Longest time that a drain waits for running requests.
     pub drain: Duration,
+    /// Time after the signal to stop for which requests are still taken, so that callers have time
+    /// to learn that the daemon is not ready any more.
+    pub linger: Duration,
     /// Peers' ports of other daemons, asked for table and configuration when the daemon starts
     /// while the platform's service does not answer.
     pub seeds: Vec<SocketAddr>,
@@ -51,7 +60,8 @@
     pub peers_advertised: Option<SocketAddr>,
     /// Operators' port.
     pub operators: SocketAddr,
-    /// Port on which the target beside the daemon announces itself; a loopback address.
+    /// Port on which the target beside the daemon announces itself: a loopback address, or the
+    /// address of the VM where the platform keeps all others from it.
     pub announce: SocketAddr,
 }
 
@@ -75,6 +85,8 @@
     pub drift_ppm: u32,
     /// Further wait of a new owner after an unplanned loss, for targets that do not check grants.
     pub settle: Duration,
+    /// Longest grant that a target takes as the answer to a report.
+    pub longest_grant: Duration,
 }
 
 /// Bounds on what others may ask of the daemon.
@@ -105,6 +117,24 @@
     pub operators: String,
 }
 
+/// The target beside the daemon, as far as the settings name it.
+#[derive(Debug, Clone, Default)]
+pub struct Target {
+    /// Name of its service. Reports of any other are not believed; empty when it is not known.
+    pub service: String,
+    /// Its address. Reports that name another one are not believed.
+    pub address: Option<SocketAddr>,
+}
+
+/// Retries that all daemons share.
+#[derive(Debug, Clone)]
+pub struct Retries {
+    /// Retries in each window beyond the share of each service, for the whole fleet.
+    pub reserve: u32,
+    /// Length of the window.
+    pub window: Duration,
+}
+
 /// Logging.
 #[derive(Debug, Clone)]
 pub struct Log {
@@ -126,7 +156,9 @@
             name: "vm-1".into(),
             region: "local".into(),
             data_centre: "dc-a".into(),
+            threads: 0,
             drain: Duration::from_secs(120),
+            linger: Duration::ZERO,
             seeds: Vec::new(),
         }
     }
@@ -160,6 +192,7 @@
             renew: Duration::from_millis(150),
             drift_ppm: 20_000,
             settle: Duration::from_millis(100),
+            longest_grant: Duration::from_secs(10),
         }
     }
 }
@@ -178,6 +211,15 @@
     }
 }
 
+impl Default for Retries {
+    fn default() -> Self {
+        Self {
+            reserve: 0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
 impl Default for Log {
     fn default() -> Self {
         Self {
--- a/crates/config/src/settings_read.rs
+++ b/crates/config/src/settings_read.rs
@@ -4,11 +4,13 @@
 
 use crate::fault::{Faults, Problem};
 use crate::reader::{Reader, hint};
-use crate::settings::{Daemon, Lease, Limits, Listen, Log, Platform, Secret, Settings};
+use crate::settings::{
+    Daemon, Lease, Limits, Listen, Log, Platform, Retries, Secret, Settings, Target,
+};
 use crate::text::{Section, split};
 
-const SECTIONS: [&str; 7] = [
-    "daemon", "listen", "platform", "lease", "limits", "secret", "log",
+const SECTIONS: [&str; 9] = [
+    "daemon", "listen", "platform", "lease", "limits", "secret", "log", "target", "retries",
 ];
 const REQUIRED: [&str; 4] = ["daemon", "listen", "platform", "secret"];
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
@@ -22,6 +24,19 @@
 const RENEWALS_PER_LEASE: u32 = 3;
 
 impl Settings {
+    /// Reads the settings of a daemon from a file.
+    ///
+    /// # Errors
+    ///
+    /// The error of the file system, or every fault on a line of its own.
+    pub fn read(path: &str) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}\n"))?;
+        Self::parse(&text, path).map_err(|faults| {
+            let lines = faults.iter().map(|fault| format!("{fault}\n"));
+            lines.collect()
+        })
+    }
+
     /// Reads the settings of a daemon from INI text. `file_name` only appears in faults.
     ///
     /// `[daemon]`, `[listen]`, `[platform]` and `[secret]` must be given; other keys have the
@@ -76,17 +91,31 @@
         "limits" => read_limits(&mut settings.limits, reader),
         "secret" => read_secret(&mut settings.secret, reader),
         "log" => read_log(&mut settings.log, reader),
+        "target" => read_target(&mut settings.target, reader),
+        "retries" => read_retries(&mut settings.retries, reader),
         _ => {}
     }
 }
 
 fn read_daemon(daemon: &mut Daemon, reader: &mut Reader<'_, '_>) {
-    let keys = ["name", "region", "data_centre", "drain_ms", "seeds"];
+    let keys = [
+        "name",
+        "region",
+        "data_centre",
+        "threads",
+        "drain_ms",
+        "drain_s",
+        "linger_ms",
+        "seeds",
+    ];
     reader.check_keys(&keys, None);
     reader.name("name", &mut daemon.name);
     reader.name("region", &mut daemon.region);
     reader.name("data_centre", &mut daemon.data_centre);
+    reader.number("threads", 0..=1, "", &mut daemon.threads);
     reader.millis("drain_ms", 0..=3_600_000, &mut daemon.drain);
+    reader.seconds("drain_s", 0.0..=3_600.0, &mut daemon.drain);
+    reader.millis("linger_ms", 0..=600_000, &mut daemon.linger);
     reader.addresses("seeds", &mut daemon.seeds);
 }
 
@@ -116,7 +145,14 @@
 }
 
 fn read_lease(lease: &mut Lease, reader: &mut Reader<'_, '_>) {
-    reader.check_keys(&["length_ms", "renew_ms", "drift_ppm", "settle_ms"], None);
+    let keys = [
+        "length_ms",
+        "renew_ms",
+        "drift_ppm",
+        "settle_ms",
+        "longest_grant_s",
+    ];
+    reader.check_keys(&keys, None);
     reader.millis("length_ms", 30..=60_000, &mut lease.length);
     reader.millis("renew_ms", 10..=20_000, &mut lease.renew);
     reader.number(
@@ -126,6 +162,7 @@
         &mut lease.drift_ppm,
     );
     reader.millis("settle_ms", 0..=10_000, &mut lease.settle);
+    reader.seconds("longest_grant_s", 0.1..=600.0, &mut lease.longest_grant);
     if lease.renew * RENEWALS_PER_LEASE > lease.length {
         let message = format!(
             "renew_ms = {} is more than a third of length_ms = {}: expected at most {}",
@@ -167,6 +204,23 @@
     reader.millis("ping_timeout_ms", 10..=60_000, &mut limits.ping_timeout);
 }
 
+fn read_target(target: &mut Target, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["service", "address"], None);
+    if reader.entry("service").is_some() {
+        reader.name("service", &mut target.service);
+    }
+    let mut address = Listen::default().announce;
+    if reader.optional_address("address", &mut address) {
+        target.address = Some(address);
+    }
+}
+
+fn read_retries(retries: &mut Retries, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["reserve", "window_s"], None);
+    reader.number("reserve", 0..=1_000_000, " retries", &mut retries.reserve);
+    reader.seconds("window_s", 0.1..=600.0, &mut retries.window);
+}
+
 fn read_secret(secret: &mut Secret, reader: &mut Reader<'_, '_>) {
     reader.check_keys(&["peers", "operators"], None);
     read_one_secret("peers", &mut secret.peers, reader);
@@ -211,7 +265,8 @@
 /// Checks the addresses against each other.
 fn check_addresses(settings: &Settings, reader: &mut Reader<'_, '_>) {
     let listen = &settings.listen;
-    if !listen.announce.ip().is_loopback() {
+    let vm = listen.peers_advertised.unwrap_or(listen.peers).ip();
+    if !listen.announce.ip().is_loopback() && listen.announce.ip() != vm {
         let message = format!(
             "{} is not a loopback address such as 127.0.0.1",
             listen.announce
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -79,6 +79,7 @@
                 table_version: 0,
                 config_revision: value.revision,
             },
+            Err(e @ Error::NotWritable) => refused(e.to_string()),
             Err(Error::Conflict(current)) => refused(format!(
                 "{} changed the configuration to revision {} at the same time",
                 current.author, current.revision
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -14,7 +14,6 @@
 use masticdeal_config::diff;
 use masticdeal_config::fault::Fault;
 use masticdeal_platform::{Client, Value, Written};
-use masticdeal_wire::headers::KEY_CONFIG;
 use masticdeal_wire::peer::ConfigValue;
 
 use crate::node::Node;
@@ -48,6 +47,8 @@
 pub enum Error {
     /// the configuration has faults
     Faults(Vec<Fault>),
+    /// the configuration is written by other means than this daemon
+    NotWritable,
     /// the configuration was changed meanwhile
     Conflict(ConfigValue),
     /// the platform's service does not answer: {0}; the change may or may not be accepted, try again with the same change id
@@ -96,7 +97,7 @@
         if value.revision <= current.revision {
             return false;
         }
-        let deployment = match Deployment::parse(&value.text) {
+        let deployment = match (self.node.dialect.config.parse)(&value.text) {
             Ok(deployment) => deployment,
             Err(faults) => {
                 log::error!(
@@ -130,7 +131,7 @@
 
     /// Takes over a value that a watch returned. Returns whether it is newer.
     pub fn learn_stored(&self, stored: &Value) -> bool {
-        match decode(&stored.bytes) {
+        match (self.node.dialect.config.decode)(&stored.bytes) {
             Ok(value) => self.learn(&value),
             Err(e) => {
                 log::error!("stored configuration cannot be read: {e}");
@@ -150,6 +151,9 @@
     /// [`Error::Faults`] and [`Error::Conflict`] mean that the change is not accepted;
     /// [`Error::Unavailable`] leaves it open.
     pub async fn propose(&self, proposal: &Proposal) -> Result<ConfigValue> {
+        if !self.node.dialect.config.writable {
+            return Err(Error::NotWritable);
+        }
         let deployment = Deployment::parse(&proposal.text).map_err(Error::Faults)?;
         let mut last = String::new();
         for _ in 0..TRIES {
@@ -184,7 +188,11 @@
             Ok(bytes) => bytes,
             Err(why) => return Attempt::Open(why),
         };
-        match self.platform.swap(KEY_CONFIG, stored.at, bytes, None).await {
+        match self
+            .platform
+            .swap(self.node.dialect.config.key, stored.at, bytes, None)
+            .await
+        {
             Written::Done(_) => {
                 self.learn(&value);
                 Attempt::Accepted(value)
@@ -195,12 +203,12 @@
     }
 
     async fn read(&self) -> Result<Stored, String> {
-        let found = self.platform.get(KEY_CONFIG).await;
+        let found = self.platform.get(self.node.dialect.config.key).await;
         match found.map_err(|e| e.to_string())? {
             None => Ok(Stored::default()),
             Some(Value { revision, bytes }) => Ok(Stored {
                 at: revision,
-                value: decode(&bytes)?,
+                value: (self.node.dialect.config.decode)(&bytes)?,
             }),
         }
     }
@@ -250,7 +258,3 @@
         .map(Bytes::from)
         .map_err(|e| e.to_string())
 }
-
-fn decode(bytes: &[u8]) -> Result<ConfigValue, String> {
-    serde_json::from_slice(bytes).map_err(|e| e.to_string())
-}
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -146,7 +146,7 @@
         self.node.session.send_if_modified(changed);
     }
 
-    fn publish(&self, table: &Arc<Table>, deltas: &[Delta]) {
+    fn publish(self: &Arc<Self>, table: &Arc<Table>, deltas: &[Delta]) {
         let mut history = self.history.lock().unwrap();
         let before = self.node.table.borrow().clone();
         let leads_there = deltas.last().is_some_and(|last| last.to == table.version);
@@ -164,6 +164,9 @@
         require(checker::check_table(table));
         require(checker::check_step(&before, table));
         self.node.table.send_replace(table.clone());
+        if self.node.dialect.target.grants_by_report {
+            self.pass_handovers(&before, table);
+        }
     }
 
     fn run(self: &Arc<Self>, effect: Effect) {
--- a/crates/daemon/src/control/grants.rs
+++ b/crates/daemon/src/control/grants.rs
@@ -22,6 +22,9 @@
     /// Sends a grant whenever it changes, and often enough that it never lapses while the lease is
     /// live, until the task is dropped.
     pub async fn keep_grants(self: Arc<Self>) {
+        if self.node.dialect.target.grants_by_report {
+            return;
+        }
         let renew = self.node.settings.lease.renew;
         loop {
             tokio::select! {
@@ -58,6 +61,12 @@
 
     /// Lets a shard's running work finish, takes the grant back and reports to the core.
     pub(super) async fn drain_shard(self: Arc<Self>, held: Held) {
+        if self.node.range_shards(held.service).is_some() {
+            // Such a target holds a range until its running work is done.
+            self.await_released(held).await;
+            self.feed(Event::ShardDrained(held));
+            return;
+        }
         let drained = self.owner.drained(held.service, held.shard);
         let limit = self.drain_limit();
         if tokio::time::timeout(limit, drained).await.is_err() {
@@ -65,7 +74,7 @@
             self.feed(Event::MoveAbandoned(held));
             return;
         }
-        self.take_back().await;
+        self.take_back(held).await;
         self.feed(Event::ShardDrained(held));
     }
 
@@ -76,7 +85,12 @@
     ) {
         let shard = override_shard(key_hash);
         self.owner.drained(service, shard).await;
-        self.take_back().await;
+        self.take_back(Held {
+            service,
+            shard,
+            epoch,
+        })
+        .await;
         self.feed(Event::KeyDrained {
             service,
             key_hash,
@@ -96,7 +110,10 @@
 
     /// Returns once the target has confirmed a grant without what the core has released, or its last
     /// grant has run out.
-    async fn take_back(&self) {
+    async fn take_back(&self, held: Held) {
+        if self.node.range_shards(held.service).is_some() {
+            return self.await_released(held).await;
+        }
         let lapsed = self.node.clock.now() + self.node.settings.lease.length;
         while self.node.clock.now() < lapsed {
             if self.send_grants().await {
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -55,6 +55,10 @@
                 let _: LoadAsk = decode(frame)?;
                 encode(&self.load_report())
             }
+            headers::PATH_HANDOVER => {
+                self.on_handover(decode(frame)?);
+                encode(&())
+            }
             other => Err(Error::UnknownPath(other)),
         }
     }
@@ -104,7 +108,8 @@
     /// Starts the move of a shard of this daemon. The owner itself swaps once the shard is
     /// drained, so that no other daemon can write a late move.
     pub(super) fn on_release(self: &Arc<Self>, message: Release) -> ReleaseReply {
-        if !self.holds(&message) {
+        let ranges = self.node.range_shards(message.service).is_some();
+        if !self.holds(&message) || (ranges && message.key_hash.is_some()) {
             return ReleaseReply::NotOwner;
         }
         self.reasons.lock().unwrap().ask(&message);
@@ -124,7 +129,11 @@
                 to: Some(message.to),
             },
         };
-        self.feed(event);
+        if ranges {
+            self.plan_move(event);
+        } else {
+            self.feed(event);
+        }
         ReleaseReply::Started
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! - [`watcher`]: watches the platform's service, on a few daemons only.
 //! - [`grants`]: keeps the target's grant current, and takes it back before a move.
 //! - [`reasons`]: why shards moved, for the journals.
+//! - [`reports`]: answers the reports of a target that takes its grants that way.
 //! - [`target`]: tells the core about the target beside the daemon.
 //! - [`census`]: what every other daemon last reported.
 //! - [`port`], [`commands`]: the operators' port and what it carries out.
@@ -27,17 +28,18 @@
 pub mod planner;
 pub mod port;
 pub mod reasons;
+pub mod reports;
 pub mod table_store;
 pub mod target;
 pub mod watcher;
 
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::sync::{Arc, Mutex};
 
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::history::History;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_ownership::lease::Core;
+use masticdeal_ownership::lease::{Core, Event};
 use masticdeal_wire::peer::{News, Versions};
 use tokio::sync::{Notify, OnceCell, watch};
 
@@ -74,10 +76,14 @@
     census: tokio::sync::Mutex<Census>,
     planning: watch::Sender<bool>,
     placed: AtomicBool,
+    /// Capacity of the target in requests per second, as the core was told.
+    capacity: AtomicU32,
     target_awaited: OnceCell<()>,
     wake: Notify,
     grants_changed: Notify,
     grant_sequence: tokio::sync::Mutex<u64>,
+    /// Moves that wait for the next report of the target.
+    planned: Mutex<Vec<Event>>,
 }
 
 impl Control {
@@ -100,10 +106,12 @@
             census: tokio::sync::Mutex::default(),
             planning: watch::Sender::new(false),
             placed: AtomicBool::new(false),
+            capacity: AtomicU32::new(0),
             target_awaited: OnceCell::new(),
             wake: Notify::new(),
             grants_changed: Notify::new(),
             grant_sequence: tokio::sync::Mutex::new(0),
+            planned: Mutex::default(),
             node,
             peers,
             owner,
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticdeal_ownership::ids::{Epoch, SessionId, shard_of};
+use masticdeal_ownership::ids::{Epoch, ServiceId, SessionId, shard_of};
 use masticdeal_ownership::planner::{self, Load, Loads, Move, PlanSettings, ServiceLoad};
 use masticdeal_ownership::table::{Service, Table};
 use masticdeal_wire::peer::{LoadReport, MoveReason, Release, ReleaseReply};
@@ -48,7 +48,8 @@
     async fn plan_round(self: &Arc<Self>) {
         let census = self.census().await;
         let table = self.node.table.borrow().clone();
-        let loads = loads(&table, &census);
+        let mut loads = loads(&table, &census);
+        self.drop_hot_keys(&table, &mut loads);
         let rules = self.node.deployment.borrow().1.rules.clone();
         let settings = PlanSettings {
             moves_per_round: rules.moves_per_round,
@@ -60,6 +61,21 @@
         }
     }
 
+    /// Leaves single keys where they are when targets are granted ranges: a key falls back to its
+    /// shard under the shard's epoch, which such a target does not take after that of the key.
+    fn drop_hot_keys(&self, table: &Table, loads: &mut Loads) {
+        for (at, load) in loads
+            .services
+            .iter_mut()
+            .enumerate()
+            .take(table.services.len())
+        {
+            if self.node.range_shards(ServiceId(at as u16)).is_some() {
+                load.hot.clear();
+            }
+        }
+    }
+
     async fn ask_release(self: &Arc<Self>, table: &Table, planned: &Move) {
         let Some(release) = release(table, planned) else {
             return;
--- a/crates/daemon/src/control/port.rs
+++ b/crates/daemon/src/control/port.rs
@@ -273,6 +273,7 @@
             Ok(value) => with_revision(text(StatusCode::OK, "accepted\n"), value.revision),
             Err(Error::Faults(faults)) => faults_response(&faults),
             Err(Error::Conflict(current)) => conflict_response(&proposal.text, &current),
+            Err(e @ Error::NotWritable) => text(StatusCode::METHOD_NOT_ALLOWED, format!("{e}\n")),
             Err(e @ Error::Unavailable(_)) => {
                 text(StatusCode::SERVICE_UNAVAILABLE, format!("{e}\n"))
             }
--- a/crates/daemon/src/control/target.rs
+++ b/crates/daemon/src/control/target.rs
@@ -2,6 +2,7 @@
 //! and whether an operator took it away.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use masticdeal_config::deployment::Deployment;
@@ -24,9 +25,9 @@
     pub async fn follow_target(self: Arc<Self>) {
         let mut target = self.node.target.subscribe();
         let mut deployment = self.node.deployment.subscribe();
-        let mut capacity = 0;
         loop {
-            capacity = self.measured_capacity(capacity);
+            let capacity = self.measured_capacity(self.reported_capacity());
+            self.capacity.store(capacity, Ordering::Relaxed);
             let announce = target.borrow_and_update().clone();
             deployment.borrow_and_update();
             let report = announce.map(|a| self.report(&a, capacity));
@@ -78,6 +79,11 @@
         deployment.1.rules.away.contains(name)
     }
 
+    /// Returns the capacity that the table shows, in requests per second.
+    pub(super) fn reported_capacity(&self) -> u32 {
+        self.capacity.load(Ordering::Relaxed)
+    }
+
     fn measured_capacity(&self, reported: u32) -> u32 {
         let measured = self.owner.service_rate();
         let change = (measured - f64::from(reported)).abs();
@@ -88,7 +94,7 @@
         }
     }
 
-    fn report(&self, announce: &Announce, capacity: u32) -> TargetReport {
+    pub(super) fn report(&self, announce: &Announce, capacity: u32) -> TargetReport {
         let state = match announce.state {
             AnnouncedState::Starting => TargetState::Away,
             AnnouncedState::Draining => TargetState::Draining,
@@ -109,6 +115,7 @@
             checks_grants: expected && announce.checks_grants,
             state,
             capacity,
+            life: announce.life,
         }
     }
 }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -9,8 +9,8 @@
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_ownership::lease::Event;
 use masticdeal_ownership::table::Table;
-use masticdeal_platform::{Call, Client};
-use masticdeal_wire::headers::{KEY_CONFIG, KEY_TABLE};
+use masticdeal_platform::{Call, Client, Error, Value};
+use masticdeal_wire::headers::KEY_TABLE;
 use tokio::sync::watch;
 
 use super::Control;
@@ -29,9 +29,65 @@
 /// Time between two copies of the counters into the metrics.
 const METRICS: Duration = Duration::from_secs(1);
 
-/// Pause after a failed watch.
+/// First pause after a failed watch.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// Largest fleet in which every daemon watches the configuration.
+pub const ALL_WATCH: usize = 32;
+
+/// Longest pause after failed watches; it doubles from [`RETRY`]. Each call is counted, refused ones
+/// included.
+const LONGEST_RETRY: Duration = Duration::from_millis(1_500);
+
+/// One key that is followed by watches.
+struct Following {
+    key: &'static str,
+    /// Revision from which the next watch continues.
+    after: u64,
+    retry: Duration,
+    failing: bool,
+}
+
+impl Following {
+    fn new(key: &'static str) -> Self {
+        Self {
+            key,
+            after: 0,
+            retry: RETRY,
+            failing: false,
+        }
+    }
+
+    /// Returns the next value; `None` after a wait without one or a failed call.
+    async fn next(&mut self, platform: &Client) -> Option<Value> {
+        let watched = match platform.watch(self.key, self.after, WAIT).await {
+            Err(Error::Compacted) => {
+                log::info!(key = self.key, after = self.after; "the history of a watch is gone");
+                platform.read(self.key).await
+            }
+            other => other,
+        };
+        match watched {
+            Ok(watched) => {
+                if std::mem::take(&mut self.failing) {
+                    log::info!(key = self.key; "the platform's service answers watches again");
+                }
+                self.retry = RETRY;
+                self.after = self.after.max(watched.at);
+                watched.value
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut self.failing, true) {
+                    log::warn!(key = self.key, error:% = e; "a watch failed");
+                }
+                tokio::time::sleep(self.retry.mul_f64(rand::random_range(0.5..1.0))).await;
+                self.retry = (self.retry * 2).min(LONGEST_RETRY);
+                None
+            }
+        }
+    }
+}
+
 /// Returns whether a session is one of its data centre's watchers.
 pub fn is_watcher(table: &Table, me: SessionId) -> bool {
     let Some(own) = table.session(me) else {
@@ -69,23 +125,17 @@
         platform: Client,
         mut watching: watch::Receiver<bool>,
     ) {
+        let mut watch = Following::new(KEY_TABLE);
         while watching.wait_for(|is| *is).await.is_ok() {
-            let after = self.tables.revision();
-            match platform.watch(KEY_TABLE, after, WAIT).await {
-                Ok(None) => {}
-                Ok(Some(value)) => {
-                    tokio::time::sleep(TREE_LEAD).await;
-                    self.learn_watched(&value);
-                }
-                Err(e) => {
-                    log::warn!("watch of the table failed: {e}");
-                    tokio::time::sleep(RETRY).await;
-                }
+            watch.after = watch.after.max(self.tables.revision());
+            if let Some(value) = watch.next(&platform).await {
+                tokio::time::sleep(TREE_LEAD).await;
+                self.learn_watched(&value);
             }
         }
     }
 
-    fn learn_watched(self: &Arc<Self>, value: &masticdeal_platform::Value) {
+    fn learn_watched(self: &Arc<Self>, value: &Value) {
         match self.tables.learn(value) {
             Ok(table) if table.version > self.node.table.borrow().version => {
                 self.feed(Event::TableLearned(Arc::new(table)));
@@ -95,26 +145,31 @@
         }
     }
 
-    /// Watches the configuration while this daemon is a watcher, and passes news on.
+    /// Watches the configuration and passes news on. In a small fleet every daemon watches, so that
+    /// a change does not depend on peers; in a larger one the watchers of the table do.
     pub async fn watch_config(
         self: Arc<Self>,
         platform: Client,
         mut watching: watch::Receiver<bool>,
     ) {
-        let mut after = 0;
-        while watching.wait_for(|is| *is).await.is_ok() {
-            match platform.watch(KEY_CONFIG, after, WAIT).await {
-                Ok(None) => {}
-                Ok(Some(value)) => {
-                    after = value.revision;
-                    if self.config.learn_stored(&value) {
-                        self.spread_config();
-                    }
-                }
-                Err(e) => {
-                    log::warn!("watch of the configuration failed: {e}");
-                    tokio::time::sleep(RETRY).await;
+        let mut watch = Following::new(self.node.dialect.config.key);
+        let mut table = self.node.table.subscribe();
+        loop {
+            let small = table.borrow_and_update().sessions.len() <= ALL_WATCH;
+            if !small && !*watching.borrow_and_update() {
+                let ended = tokio::select! {
+                    changed = table.changed() => changed.is_err(),
+                    changed = watching.changed() => changed.is_err(),
+                };
+                if ended {
+                    return;
                 }
+                continue;
+            }
+            if let Some(value) = watch.next(&platform).await
+                && self.config.learn_stored(&value)
+            {
+                self.spread_config();
             }
         }
     }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -160,6 +160,9 @@
             return Err(redirected);
         }
         progress.attempts += 1;
+        if head.attempts.is_some_and(|most| progress.attempts >= most) {
+            return Err(failure);
+        }
         let failed = Failed {
             attempt: progress.attempts,
             idempotent: head.forward.idempotent,
--- a/crates/daemon/src/ingress/head.rs
+++ b/crates/daemon/src/ingress/head.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::exchange::{Failure, end_to_end};
+use crate::holdings::number_hash;
 use crate::node::Node;
 
 /// Longest identifier of a request that is taken over from the caller, in bytes.
@@ -25,6 +26,8 @@
     pub rules: Arc<Deployment>,
     /// Name of the service.
     pub service: String,
+    /// Most targets that the request may be sent to; `None` leaves it to the retry rules.
+    pub attempts: Option<u32>,
     /// When the caller needs the head of the answer.
     pub deadline: Deadline,
     /// Head for the owner; service id, shard, deadline and versions are set for each attempt.
@@ -43,15 +46,21 @@
         if revision == 0 {
             return Err(Failure::not_run(Reason::NotReady));
         }
+        let names = &node.dialect.headers;
         let path = parts.uri.path();
-        let service = rules
-            .route(path)
+        let matched = rules
+            .resolve(host(parts), path, rand::random())
             .ok_or(Failure::not_run(Reason::NoService))?;
+        let (service, route) = (matched.service, matched.route);
         let key_hash = key_hash(service, parts)?;
         let now = node.clock.now();
-        let asked = asked_deadline(&parts.headers)?;
-        let deadline = Deadline::new(now, asked, service.deadline);
+        let asked = asked_deadline(&parts.headers, names.deadline.as_str())?;
+        let allowed = route.map_or(service.deadline, |r| r.timeout);
+        let deadline = Deadline::new(now, asked, allowed);
         let idempotent = text(&parts.headers, headers::IDEMPOTENT);
+        let by_method = || service.is_idempotent(parts.method.as_str(), idempotent);
+        let idempotent = route.map_or_else(by_method, |r| r.idempotent);
+        let attempts = route.map(|r| r.attempts);
         let forward = Forward {
             service: ServiceId(0),
             shard: None,
@@ -62,9 +71,9 @@
                 .path_and_query()
                 .map_or(path, |p| p.as_str())
                 .to_owned(),
-            headers: passed_on(parts),
+            headers: passed_on(node, parts),
             deadline_ms: 0,
-            idempotent: service.is_idempotent(parts.method.as_str(), idempotent),
+            idempotent,
             request_id: request_id.to_owned(),
             traceparent: String::new(),
             versions: Versions::default(),
@@ -73,6 +82,7 @@
         Ok(Self {
             rules,
             service,
+            attempts,
             deadline,
             forward,
         })
@@ -85,8 +95,8 @@
 }
 
 /// Returns the caller's identifier of the request, or a new one.
-pub fn request_id(headers: &HeaderMap) -> String {
-    let given = text(headers, headers::REQUEST_ID).filter(|id| {
+pub fn request_id(node: &Node, headers: &HeaderMap) -> String {
+    let given = text(headers, node.dialect.headers.request_id.as_str()).filter(|id| {
         !id.is_empty()
             && id.len() <= MAX_REQUEST_ID_BYTES
             && id.bytes().all(|b| b.is_ascii_graphic())
@@ -134,21 +144,31 @@
     };
     let key = service.key_of(parts.uri.path(), parts.uri.query(), header);
     let key = key.ok_or(Failure::not_run(Reason::NoKey))?;
+    if service.has_number_keys() {
+        let number = key.parse().map_err(|_| Failure::not_run(Reason::NoKey))?;
+        return Ok(Some(number_hash(number, service.shards)));
+    }
     Ok(Some(xxh3_64(key.as_bytes())))
 }
 
-fn asked_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Failure> {
-    if !headers.contains_key(headers::DEADLINE_MS) {
+fn asked_deadline(headers: &HeaderMap, name: &str) -> Result<Option<Duration>, Failure> {
+    if !headers.contains_key(name) {
         return Ok(None);
     }
-    let asked = text(headers, headers::DEADLINE_MS).and_then(deadline::parse_header);
+    let asked = text(headers, name).and_then(deadline::parse_header);
     asked.map(Some).ok_or(Failure::not_run(Reason::Malformed))
 }
 
 /// Returns the headers that go to the target as they came.
-fn passed_on(parts: &Parts) -> Vec<(String, Vec<u8>)> {
+fn passed_on(node: &Node, parts: &Parts) -> Vec<(String, Vec<u8>)> {
+    let names = &node.dialect.headers;
     let mut passed = end_to_end(&parts.headers);
-    passed.retain(|(name, _)| !is_internal(name));
+    // A caller must not pose as a daemon.
+    passed.retain(|(name, _)| !names.are_own(name));
+    if let Some(name) = &names.caller_service {
+        let service = node.settings.target.service.clone();
+        passed.push((name.as_str().to_owned(), service.into_bytes()));
+    }
     // HTTP/2 carries the host in the URI.
     if !parts.headers.contains_key(HOST)
         && let Some(authority) = parts.uri.authority()
@@ -161,10 +181,11 @@
     passed
 }
 
-/// Returns whether the daemon reads or sets the header itself. None of them is passed on as it came,
-/// so that a caller cannot pose as a daemon.
-fn is_internal(name: &str) -> bool {
-    name.starts_with(headers::PREFIX) || name == headers::REQUEST_ID || name == headers::TRACEPARENT
+/// Returns the host that the request names, with its port if it has one.
+fn host(parts: &Parts) -> &str {
+    let named = text(&parts.headers, HOST.as_str());
+    let authority = || parts.uri.authority().map(|a| a.as_str());
+    named.or_else(authority).unwrap_or_default()
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -218,7 +218,7 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let (parts, incoming) = request.into_parts();
-        let id = head::request_id(&parts.headers);
+        let id = head::request_id(&self.node, &parts.headers);
         let permit = Arc::clone(&self.requests).try_acquire_owned();
         let Ok(permit) = permit else {
             let reason = Reason::TooManyRequests;
--- a/crates/daemon/src/ingress/reply.rs
+++ b/crates/daemon/src/ingress/reply.rs
@@ -3,10 +3,11 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 use masticdeal_policy::Verdict;
@@ -22,6 +23,9 @@
 use crate::node::Node;
 use crate::telemetry::metrics::{ByReason, Finished};
 
+/// Advice to come back when nothing better is known.
+const RETRY_DEFAULT: Duration = Duration::from_millis(300);
+
 /// One request of a caller, from its arrival to the last byte of its answer.
 pub struct Open {
     node: Arc<Node>,
@@ -137,6 +141,7 @@
             request_id,
         );
     };
+    let names = open.node.dialect.headers.clone();
     let mut body = CallerBody {
         inner: answer.body,
         open,
@@ -149,8 +154,10 @@
     let mut response = Response::new(stalls.watch(body.boxed_unsync()));
     *response.status_mut() = status;
     *response.headers_mut() = map;
-    set(&mut response, headers::SERVED_BY, &vm);
-    set(&mut response, headers::REQUEST_ID, request_id);
+    if names.explains {
+        set(&mut response, headers::SERVED_BY, &vm);
+    }
+    set(&mut response, names.request_id.as_str(), request_id);
     response
 }
 
@@ -172,41 +179,24 @@
         .get_or_create(&ByReason { reason })
         .inc();
     let mut response = Response::new(full(format!("{verdict}: {reason}\n")));
-    *response.status_mut() = status(&failure);
+    *response.status_mut() = (node.dialect.caller.status)(&failure);
+    let names = &node.dialect.headers;
     set(&mut response, headers::VERDICT, &verdict.to_string());
     set(&mut response, headers::REASON, reason);
-    set(&mut response, headers::REQUEST_ID, request_id);
+    set(&mut response, names.request_id.as_str(), request_id);
     set(&mut response, CONTENT_TYPE.as_str(), "text/plain");
     if response.status() == StatusCode::SERVICE_UNAVAILABLE
         || response.status() == StatusCode::TOO_MANY_REQUESTS
     {
-        let seconds = failure
-            .retry_after
-            .map_or(1, |d| d.as_secs_f64().ceil().max(1.0) as u64);
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        let wait = failure.retry_after.unwrap_or(RETRY_DEFAULT);
+        let wait = (node.dialect.caller.retry_after)(wait);
+        response.headers_mut().insert(RETRY_AFTER, wait);
     }
     response
 }
 
-/// Returns the status of a failure.
-pub fn status(failure: &Failure) -> StatusCode {
-    match (failure.reason, failure.verdict) {
-        (Reason::NoService, _) => StatusCode::NOT_FOUND,
-        (Reason::NoKey, _) => StatusCode::BAD_REQUEST,
-        (Reason::Malformed, Verdict::NotRun) => StatusCode::BAD_REQUEST,
-        (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-        (Reason::HeadersTooLarge, _) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        (Reason::TooManyRequests, _) => StatusCode::TOO_MANY_REQUESTS,
-        (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
-        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
-        (_, Verdict::MayHaveRun | Verdict::Ran) => StatusCode::BAD_GATEWAY,
-    }
-}
-
-fn set(response: &mut Response<Body>, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::try_from(value) {
+fn set(response: &mut Response<Body>, name: &str, value: &str) {
+    if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
         response.headers_mut().insert(name, value);
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`clock`]: the boot-time clock, passed in as an interface.
 //! - [`meter`]: requests per shard and key.
 //! - [`node`]: state that all parts share.
+//! - [`dialect`]: how callers, targets and the platform's service are spoken to.
+//! - [`holdings`]: what a target holds that takes its grants as answers to its reports.
 //! - [`control`]: lease, table, configuration and planner.
 //! - [`exchange`]: one request and its outcome.
 //! - [`peers`]: h2 between daemons.
@@ -15,7 +17,9 @@
 
 pub mod clock;
 pub mod control;
+pub mod dialect;
 pub mod exchange;
+pub mod holdings;
 pub mod ingress;
 pub mod meter;
 pub mod node;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use masticdeal_config::settings::Settings;
+use masticdeald::dialect::Dialect;
 
 /// Routes requests to the servers that own their keys. One daemon runs beside each target.
 #[derive(FromArgs)]
@@ -19,7 +20,7 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match read(&args.config) {
+    let settings = match Settings::read(&args.config) {
         Ok(settings) => settings,
         Err(message) => {
             eprint!("{message}");
@@ -30,7 +31,7 @@
         println!("{}: settings are valid", args.config);
         return ExitCode::SUCCESS;
     }
-    match masticdeald::run::run(settings) {
+    match masticdeald::run::run(settings, Dialect::default()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("masticdeald: {e}");
@@ -38,12 +39,3 @@
         }
     }
 }
-
-/// Returns the settings, or every fault on a line of its own.
-fn read(path: &str) -> Result<Settings, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}\n"))?;
-    Settings::parse(&text, path).map_err(|faults| {
-        let lines = faults.iter().map(|fault| format!("{fault}\n"));
-        lines.collect()
-    })
-}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,6 +5,7 @@
 //! request and works on that copy.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use masticdeal_config::deployment::Deployment;
 use masticdeal_config::settings::Settings;
@@ -16,6 +17,8 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::holdings::Holdings;
 use crate::meter::Meter;
 use crate::telemetry::Metrics;
 
@@ -29,6 +32,8 @@
 pub struct Node {
     /// Settings, checked at start.
     pub settings: Settings,
+    /// How outside parties are spoken to.
+    pub dialect: Dialect,
     /// Boot-time clock.
     pub clock: Arc<dyn Clock>,
     /// Newest assignment table.
@@ -37,6 +42,10 @@
     pub deployment: watch::Sender<(u64, Arc<Deployment>)>,
     /// Last announcement of the target beside the daemon; `None` while it is silent.
     pub target: watch::Sender<Option<Announce>>,
+    /// What the target holds, when it takes its grants as answers to its reports.
+    pub holdings: Holdings,
+    /// When the target last answered a request, as milliseconds since boot.
+    pub target_answered_ms: AtomicU64,
     /// Session of this daemon, once it has joined.
     pub session: watch::Sender<Option<SessionId>>,
     /// Newest versions that a peer reported; the control plane pulls when it is behind.
@@ -60,10 +69,13 @@
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, may_serve: MayServe) -> Self {
         Self {
             settings,
+            dialect: Dialect::default(),
             clock,
             table: watch::Sender::new(Arc::default()),
             deployment: watch::Sender::new((0, Arc::default())),
             target: watch::Sender::new(None),
+            holdings: Holdings::default(),
+            target_answered_ms: AtomicU64::new(0),
             session: watch::Sender::new(None),
             reported: watch::Sender::new(Versions::default()),
             draining: watch::Sender::new(false),
@@ -75,6 +87,17 @@
         }
     }
 
+    /// Returns the number of shards of a service whose keys are numbers and whose targets take their
+    /// grants as answers to their reports; `None` for any other.
+    pub fn range_shards(&self, service: ServiceId) -> Option<u32> {
+        if !self.dialect.target.grants_by_report {
+            return None;
+        }
+        let table = self.table.borrow();
+        let count = table.service(service)?.shards.len() as u32;
+        (count > 0).then_some(count)
+    }
+
     /// Returns the versions that this daemon holds.
     pub fn versions(&self) -> Versions {
         Versions {
--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -2,21 +2,24 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use displaydoc::Display;
-use http::{Method, Request, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use masticdeal_wire::{headers, target::Announce};
+use masticdeal_wire::target::{Announce, AnnouncedState, Report, ReportAnswer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::dialect::TargetMessage;
 use crate::exchange::{Body, full};
 use crate::node::Node;
 
@@ -50,14 +53,22 @@
     NoPort,
     /// another target at {0} is alive beside this daemon
     OtherTarget(SocketAddr),
+    /// the settings name another service or address for the target
+    Stranger,
+    /// a newer life of the target, or a later report of this one, is known
+    Stale,
 }
 
 impl std::error::Error for Error {}
 
+/// Answers a report after the target that it describes was published.
+pub type Reports = Box<dyn Fn(&Report) -> ReportAnswer + Send + Sync>;
+
 /// Serves the announce port and publishes into [`Node::target`]. Never returns.
-pub async fn serve(node: Arc<Node>, listener: TcpListener) {
+pub async fn serve(node: Arc<Node>, listener: TcpListener, reports: Reports) {
     let state = Arc::new(State {
         node,
+        reports,
         last: Mutex::new(None),
     });
     let bound = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -95,80 +106,157 @@
         .await;
 }
 
+/// The last announcement that was believed.
+#[derive(Debug, Clone, Copy)]
+struct Last {
+    address: SocketAddr,
+    life: u64,
+    sequence: u64,
+    at: Duration,
+}
+
 struct State {
     node: Arc<Node>,
-    /// Address and time of the last announcement.
-    last: Mutex<Option<(SocketAddr, Duration)>>,
+    reports: Reports,
+    last: Mutex<Option<Last>>,
 }
 
 impl State {
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        if request.uri().path() != headers::PATH_ANNOUNCE {
-            return response(StatusCode::NOT_FOUND, String::new());
-        }
         if request.method() != Method::POST {
             return response(StatusCode::METHOD_NOT_ALLOWED, String::new());
         }
-        match self
-            .read(request)
-            .await
-            .and_then(|announce| self.publish(announce))
-        {
-            Ok(()) => response(StatusCode::OK, String::new()),
-            Err(e @ Error::OtherTarget(_)) => response(StatusCode::CONFLICT, e.to_string()),
-            Err(e @ Error::Body) => response(StatusCode::PAYLOAD_TOO_LARGE, e.to_string()),
-            Err(e) => response(StatusCode::BAD_REQUEST, e.to_string()),
+        let path = request.uri().path().to_owned();
+        let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+        let body = match tokio::time::timeout(HEAD_TIMEOUT, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            _ => return response(StatusCode::PAYLOAD_TOO_LARGE, Error::Body.to_string()),
+        };
+        let Some(message) = (self.node.dialect.target.decode)(&path, &body) else {
+            return response(StatusCode::NOT_FOUND, String::new());
+        };
+        let taken = message
+            .map_err(Error::Malformed)
+            .and_then(|message| self.take(message));
+        match taken {
+            Ok(answer) => answered(self.node.dialect.target.encode, &answer),
+            Err(e) => {
+                log::warn!(path = path.as_str(), reason:% = e; "message of the target is refused");
+                let status = match e {
+                    Error::OtherTarget(_) | Error::Stranger | Error::Stale => StatusCode::CONFLICT,
+                    _ => StatusCode::BAD_REQUEST,
+                };
+                response(status, e.to_string())
+            }
+        }
+    }
+
+    fn take(&self, message: TargetMessage) -> Result<ReportAnswer, Error> {
+        match message {
+            TargetMessage::Report(report) => {
+                self.check(&report)?;
+                self.publish(&report)?;
+                Ok((self.reports)(&report))
+            }
+            TargetMessage::Leave { instance, life } => self.leave(&instance, life),
         }
     }
 
-    async fn read(&self, request: Request<Incoming>) -> Result<Announce, Error> {
-        let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
-        let body = tokio::time::timeout(HEAD_TIMEOUT, body)
-            .await
-            .map_err(|_| Error::Body)?;
-        let body = body.map_err(|_| Error::Body)?.to_bytes();
-        let announce: Announce =
-            serde_json::from_slice(&body).map_err(|e| Error::Malformed(e.to_string()))?;
-        match &announce {
+    fn check(&self, report: &Report) -> Result<(), Error> {
+        let named = &self.node.settings.target;
+        match &report.announce {
             a if a.slots == 0 => Err(Error::NoSlots),
             a if a.service.is_empty() => Err(Error::NoService),
             a if a.address.port() == 0 => Err(Error::NoPort),
-            _ => Ok(announce),
+            a if named.address.is_some_and(|known| known != a.address) => Err(Error::Stranger),
+            a if !named.service.is_empty() && named.service != a.service => Err(Error::Stranger),
+            _ => Ok(()),
         }
     }
 
-    fn publish(&self, announce: Announce) -> Result<(), Error> {
+    fn publish(&self, report: &Report) -> Result<(), Error> {
+        let announce = &report.announce;
         let now = self.node.clock.now();
         let mut last = self.last.lock().unwrap_or_else(|e| e.into_inner());
-        if let Some((address, at)) = *last
-            && address != announce.address
-            && now.saturating_sub(at) < SILENCE
-        {
-            return Err(Error::OtherTarget(address));
+        if let Some(last) = *last {
+            let alive = now.saturating_sub(last.at) < SILENCE;
+            if last.address != announce.address && alive {
+                return Err(Error::OtherTarget(last.address));
+            }
+            let same = last.life == announce.life && announce.life != 0;
+            if announce.life < last.life || (same && report.sequence <= last.sequence) {
+                return Err(Error::Stale);
+            }
         }
-        *last = Some((announce.address, now));
+        *last = Some(Last {
+            address: announce.address,
+            life: announce.life,
+            sequence: report.sequence,
+            at: now,
+        });
+        self.set(Some(announce.clone()));
+        Ok(())
+    }
+
+    /// Takes a target that leaves as one that drains. The message itself is the last one of its
+    /// life that is sure to come.
+    fn leave(&self, instance: &str, life: u64) -> Result<ReportAnswer, Error> {
+        let known = self.node.target.borrow().clone();
+        let known = known.filter(|t| t.instance == instance && (life == 0 || life == t.life));
+        let Some(known) = known else {
+            return Err(Error::Stale);
+        };
+        self.set(Some(Announce {
+            state: AnnouncedState::Draining,
+            ..known
+        }));
+        Ok(ReportAnswer::default())
+    }
+
+    fn set(&self, target: Option<Announce>) {
         self.node.target.send_if_modified(|known| {
-            let changed = known.as_ref() != Some(&announce);
-            *known = Some(announce);
+            let changed = *known != target;
+            if changed {
+                let service = target.as_ref().map(|t| t.service.as_str());
+                let state = target.as_ref().map(|t| format!("{:?}", t.state));
+                let life = target.as_ref().map(|t| t.life);
+                log::info!(service:?, state:?, life:?; "the target beside the daemon changed");
+            }
+            *known = target;
             changed
         });
-        Ok(())
     }
 
     fn check_silence(&self) {
         let last = *self.last.lock().unwrap_or_else(|e| e.into_inner());
-        let Some((address, at)) = last else { return };
-        if self.node.clock.now().saturating_sub(at) < SILENCE {
+        let Some(last) = last else { return };
+        let now = self.node.clock.now();
+        if now.saturating_sub(last.at) < SILENCE || self.answers_requests(now) {
             return;
         }
-        self.node.target.send_if_modified(|known| {
-            let away = known.take().is_some();
-            if away {
-                log::warn!(target:% = address; "The target no longer announces itself");
-            }
-            away
-        });
+        if self.node.target.borrow().is_some() {
+            log::warn!(target:% = last.address; "the target no longer announces itself");
+            self.set(None);
+        }
     }
+
+    /// Returns whether the target still answers requests of a service that needs no grants. Such a
+    /// target may be cut off from the announce port only.
+    fn answers_requests(&self, now: Duration) -> bool {
+        let target = self.node.target.borrow().clone();
+        let Some(target) = target else { return false };
+        let known = self.node.deployment.borrow().1.clone();
+        let divided = known.service(&target.service).is_none_or(|s| s.shards > 0);
+        let answered = self.node.target_answered_ms.load(Ordering::Relaxed);
+        !divided && now.saturating_sub(Duration::from_millis(answered)) < SILENCE
+    }
+}
+
+fn answered(encode: fn(&ReportAnswer) -> bytes::Bytes, answer: &ReportAnswer) -> Response<Body> {
+    let mut response = Response::new(full(encode(answer)));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
 }
 
 fn response(status: StatusCode, text: String) -> Response<Body> {
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -22,7 +22,7 @@
 use masticdeal_wire::peer::{LoadHint, Reason};
 use masticdeal_wire::target::{Announce, AnnouncedState};
 
-pub use announce::serve as serve_announce;
+pub use announce::{Reports, serve as serve_announce};
 pub use grant::Error as GrantError;
 
 use crate::exchange::{Failure, Outcome, Request};
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use masticdeal_ownership::ids::{Epoch, ServiceId, ShardId};
@@ -14,6 +14,7 @@
 use masticdeal_policy::Verdict;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{Forward, Reason};
+use masticdeal_wire::target::Announce;
 use tokio::time::timeout;
 
 use super::Owner;
@@ -65,7 +66,17 @@
             return Ok(None);
         };
         let epoch = (self.node.may_serve)(self.service, shard, key_hash);
-        epoch.map(Some).map_err(Failure::not_run)
+        let epoch = epoch.map_err(Failure::not_run)?;
+        let ranges = self.node.range_shards(self.service).is_some();
+        if ranges
+            && !self
+                .node
+                .holdings
+                .holds(self.node.clock.now(), shard, epoch)
+        {
+            return Err(Failure::not_run(Reason::Moving));
+        }
+        Ok(Some(epoch))
     }
 }
 
@@ -95,12 +106,13 @@
         let epoch = right.epoch()?;
         let granted = key.map(|(shard, hash)| if own { override_shard(hash) } else { shard });
         let held = granted.zip(epoch);
-        let request = build(&head, body, held, &target.address, &hop)?;
+        let request = build(&self.node, &head, body, held, &target, &hop)?;
         let job = Job {
             owner: self,
             right,
             epoch,
             address: target.address,
+            request_id: head.request_id.clone(),
             deadline,
         };
         job.run(request, slot, entered).await
@@ -138,6 +150,7 @@
     right: Right,
     epoch: Option<Epoch>,
     address: SocketAddr,
+    request_id: String,
     deadline: Duration,
 }
 
@@ -159,7 +172,8 @@
             };
             self.check()?;
             let remaining = self.deadline.saturating_sub(node.clock.now());
-            set_deadline(request.headers_mut(), remaining);
+            let names = &node.dialect.headers;
+            set_deadline(request.headers_mut(), &names.deadline, remaining);
             self.arm(&connection);
             let (read, written) = (connection.counts.read(), connection.counts.written());
             let sent = timeout(remaining, connection.send.try_send_request(request)).await;
@@ -167,8 +181,15 @@
                 return Err(self.silent(&connection, read, remaining));
             };
             let failed = match sent {
+                Ok(response) if self.is_stray(&response) => {
+                    log::warn!(id = self.request_id.as_str(), target:% = self.address;
+                        "the target's connection carries the answer to another request");
+                    return Err(Failure::may_have_run(Reason::TargetFailed));
+                }
                 Ok(response) => {
                     self.owner.health.answered();
+                    let answered = node.clock.now().as_millis() as u64;
+                    node.target_answered_ms.store(answered, Ordering::Relaxed);
                     slot.note_head();
                     let pool = Arc::clone(&self.owner.pool);
                     let node = Arc::clone(node);
@@ -211,6 +232,14 @@
         })
     }
 
+    /// Returns whether an answer names another request.
+    fn is_stray(&self, response: &http::Response<Incoming>) -> bool {
+        let name = &self.owner.node.dialect.headers.request_id;
+        let echoed = response.headers().get(name);
+        let expected = self.owner.node.dialect.caller.needs_id;
+        echoed.map_or(expected, |id| id.as_bytes() != self.request_id.as_bytes())
+    }
+
     /// Checks the right and the deadline after an await.
     fn check(&self) -> Result<(), Failure> {
         if self.right.epoch()? != self.epoch {
@@ -241,20 +270,30 @@
         response: http::Response<Incoming>,
         running: Running,
     ) -> Result<Answer, Failure> {
-        if let Some(failure) = refusal(&response) {
+        let dialect = &self.owner.node.dialect;
+        if let Some(failure) = (dialect.target.refusal)(response.status(), response.headers()) {
             if response.status() == StatusCode::SERVICE_UNAVAILABLE {
                 running.slot.shed();
             }
             return Err(failure);
         }
-        if !ends_visibly(&response) {
+        if !ends_visibly(&response) && !dialect.target.ends_with_connection {
             return Err(Failure::new(Verdict::Ran, Reason::TargetFailed));
         }
+        let signed = |name| response.headers().contains_key(name);
+        let unsigned = dialect
+            .headers
+            .signature
+            .as_ref()
+            .is_some_and(|n| !signed(n));
+        if response.status().is_success() && unsigned {
+            return Err(Failure::may_have_run(Reason::TargetFailed));
+        }
         let status = response.status().as_u16();
         let headers = end_to_end(response.headers());
         let headers = headers
             .into_iter()
-            .filter(|(name, _)| !is_internal(name))
+            .filter(|(name, _)| !dialect.headers.are_own(name))
             .collect();
         let body = TargetBody::new(response.into_body(), running).boxed_unsync();
         Ok(Answer {
@@ -279,33 +318,6 @@
     }
 }
 
-/// Returns the failure when the target itself says that it did not run the request.
-fn refusal(response: &http::Response<Incoming>) -> Option<Failure> {
-    let status = response.status();
-    let refused = [
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::PRECONDITION_FAILED,
-    ];
-    let verdict = response.headers().get(headers::VERDICT)?.to_str().ok()?;
-    if !refused.contains(&status) || Verdict::parse(verdict) != Some(Verdict::NotRun) {
-        return None;
-    }
-    let retry_after = response.headers().get(http::header::RETRY_AFTER);
-    let seconds = retry_after
-        .and_then(|v| v.to_str().ok())
-        .and_then(|v| v.parse().ok());
-    let retry_after = seconds.map(Duration::from_secs);
-    if status == StatusCode::PRECONDITION_FAILED {
-        // The target does not hold the grant for this epoch: it is on its way, or a newer owner
-        // has sent its own.
-        return Some(Failure::not_run(Reason::Moving));
-    }
-    Some(Failure {
-        retry_after,
-        ..Failure::not_run(Reason::TargetRefused)
-    })
-}
-
 /// Returns whether a cut answer can be told from a whole one. An answer that ends with the
 /// connection cannot.
 fn ends_visibly(response: &http::Response<Incoming>) -> bool {
@@ -315,15 +327,12 @@
         || headers.contains_key(TRANSFER_ENCODING)
 }
 
-fn is_internal(name: &str) -> bool {
-    name.starts_with(headers::PREFIX)
-}
-
 fn build(
+    node: &Node,
     head: &Forward,
     body: Body,
     held: Option<(ShardId, Epoch)>,
-    address: &SocketAddr,
+    target: &Announce,
     hop: &Hop,
 ) -> Result<http::Request<Body>, Failure> {
     let malformed = || Failure::not_run(Reason::Malformed);
@@ -333,11 +342,22 @@
     let mut map = to_header_map(&head.headers).map_err(|_| malformed())?;
     let text = |text: &str| HeaderValue::try_from(text).map_err(|_| malformed());
     if !map.contains_key(HOST) {
-        map.insert(HOST, text(&address.to_string())?);
+        map.insert(HOST, text(&target.address.to_string())?);
+    }
+    let names = &node.dialect.headers;
+    map.insert(&names.request_id, text(&head.request_id)?);
+    if let Some(name) = names
+        .instance
+        .as_ref()
+        .filter(|_| !target.instance.is_empty())
+    {
+        map.insert(name, text(&target.instance)?);
+    }
+    if names.explains {
+        map.insert(headers::TRACEPARENT, text(&hop.traceparent())?);
     }
-    map.insert(headers::REQUEST_ID, text(&head.request_id)?);
-    map.insert(headers::TRACEPARENT, text(&hop.traceparent())?);
-    if let Some((shard, epoch)) = held {
+    let by_report = node.dialect.target.grants_by_report;
+    if let Some((shard, epoch)) = held.filter(|_| !by_report) {
         map.insert(headers::SHARD, HeaderValue::from(shard.0));
         map.insert(headers::EPOCH, HeaderValue::from(epoch.0));
     }
@@ -345,9 +365,6 @@
     Ok(request)
 }
 
-fn set_deadline(headers: &mut HeaderMap, remaining: Duration) {
-    headers.insert(
-        headers::DEADLINE_MS,
-        HeaderValue::from(to_wire_ms(remaining)),
-    );
+fn set_deadline(headers: &mut HeaderMap, name: &HeaderName, remaining: Duration) {
+    headers.insert(name, HeaderValue::from(to_wire_ms(remaining)));
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,6 +16,7 @@
 use crate::clock::{BootClock, Clock};
 use crate::control::Control;
 use crate::control::election::Election;
+use crate::dialect::Dialect;
 use crate::node::{MayServe, Node};
 use crate::owner::{self, Owner};
 use crate::peers::{self, Peers};
@@ -50,13 +51,20 @@
 /// # Errors
 ///
 /// Any [`Error`], before a request was taken.
-pub fn run(settings: Settings) -> Result<()> {
+pub fn run(settings: Settings, dialect: Dialect) -> Result<()> {
     logs::init(&settings.log).map_err(Error::Logs)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .map_err(Error::Runtime)?;
-    runtime.block_on(serve(settings))
+    let runtime = if settings.daemon.threads == 1 {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()
+    };
+    runtime
+        .map_err(Error::Runtime)?
+        .block_on(serve(settings, dialect))
 }
 
 /// The listening sockets of the daemon.
@@ -67,18 +75,23 @@
     announce: TcpListener,
 }
 
-async fn serve(settings: Settings) -> Result<()> {
+async fn serve(settings: Settings, dialect: Dialect) -> Result<()> {
     let listeners = Listeners::bind(&settings).await?;
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let core = Core::new(core_settings(&settings), identity(&settings, clock.now()));
     let core = Arc::new(Mutex::new(core));
     let may_serve = may_serve(core.clone(), clock.clone());
-    let node = Arc::new(Node::new(settings, clock, may_serve));
+    let store = dialect.store;
+    let node = Arc::new(Node {
+        dialect,
+        ..Node::new(settings, clock, may_serve)
+    });
     let peers = Peers::new(node.clone());
     let owner = Owner::new(node.clone());
     let platform = masticdeal_platform::Client::new(masticdeal_platform::Settings {
         address: node.settings.platform.address,
         timeout: node.settings.platform.timeout,
+        binding: store,
     });
     let control = Control::new(
         node.clone(),
@@ -93,7 +106,12 @@
         forward: owner.forwarded(),
     };
     let peers_served = tokio::spawn(peers::serve(node.clone(), listeners.peers, handlers));
-    tokio::spawn(owner::serve_announce(node.clone(), listeners.announce));
+    let reporting = control.clone();
+    tokio::spawn(owner::serve_announce(
+        node.clone(),
+        listeners.announce,
+        Box::new(move |report| reporting.on_report(report)),
+    ));
     tokio::spawn(control.clone().serve_operators(listeners.operators));
     let callers_served = tokio::spawn(ingress::serve(
         node.clone(),
--- a/crates/daemon/src/telemetry/traces.rs
+++ b/crates/daemon/src/telemetry/traces.rs
@@ -1,70 +1,102 @@
-//! Traces: one span per hop, carried between hops by `traceparent`.
+//! Traces: one span per hop, carried between hops by `traceparent` (W3C Trace Context).
 //!
-//! Without a reporter the spans are inert, and the identifiers still travel, so that a caller's
-//! trace reaches the target.
+//! A finished span is a log line of level `debug` with target [`LOG_TARGET`]. While the log does
+//! not take such lines the identifiers still travel, so that a caller's trace reaches the target.
+//! A tracing library is not used here: those at hand calibrate the processor's time-stamp counter
+//! before `main`, which never ends where the clock does not advance by itself.
 
-use fastrace::Span;
-use fastrace::collector::{Config, Reporter, SpanContext, SpanRecord};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Instant;
 
 /// Log target of finished spans.
 pub const LOG_TARGET: &str = "trace";
 
-/// The span of one hop.
+/// Fields of `traceparent`: version, trace, parent span and flags.
+const FIELDS: usize = 4;
+
+/// The span of one hop. It ends when it is dropped.
 pub struct Hop {
-    span: Span,
-    context: SpanContext,
+    name: &'static str,
+    trace: u128,
+    parent: u64,
+    span: u64,
+    flags: u8,
+    /// Begin and properties, while the span is recorded.
+    record: Option<Record>,
+}
+
+struct Record {
+    begin: Instant,
+    properties: Mutex<BTreeMap<&'static str, String>>,
 }
 
 impl Hop {
     /// Starts the span of a hop under the sender's trace context. A missing or malformed context
     /// starts a new trace.
     pub fn start(name: &'static str, traceparent: &str) -> Self {
-        let parent = SpanContext::decode_w3c_traceparent(traceparent);
-        let parent = parent.unwrap_or_else(SpanContext::random);
-        let span = Span::root(name, parent);
-        let context = SpanContext::from_span(&span).unwrap_or(parent);
-        Self { span, context }
+        let (trace, parent, flags) = parse(traceparent).unwrap_or_else(|| (random_trace(), 0, 0));
+        let enabled = log::log_enabled!(target: LOG_TARGET, log::Level::Debug);
+        let record = enabled.then(|| Record {
+            begin: Instant::now(),
+            properties: Mutex::default(),
+        });
+        Self {
+            name,
+            trace,
+            parent,
+            span: rand::random_range(1..=u64::MAX),
+            flags,
+            record,
+        }
     }
 
     /// Returns the value of `traceparent` for the next hop.
     pub fn traceparent(&self) -> String {
-        self.context.encode_w3c_traceparent()
+        let Self {
+            trace, span, flags, ..
+        } = self;
+        format!("00-{trace:032x}-{span:016x}-{flags:02x}")
     }
 
     /// Adds a property to the span. The value is made only when the span is recorded.
     pub fn note(&self, key: &'static str, value: impl FnOnce() -> String) {
-        self.span.add_property(|| (key, value()));
+        if let Some(record) = &self.record {
+            let mut properties = record.properties.lock().unwrap_or_else(|e| e.into_inner());
+            properties.insert(key, value());
+        }
     }
 }
 
-/// Writes finished spans as log lines of level `debug` with target [`LOG_TARGET`].
-pub struct LogReporter;
-
-impl Reporter for LogReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in spans {
-            let properties: std::collections::BTreeMap<_, _> = span
-                .properties
-                .iter()
-                .map(|(k, v)| (k.as_ref(), v.as_ref()))
-                .collect();
-            log::debug!(
-                target: LOG_TARGET,
-                trace = format!("{:032x}", span.trace_id.0),
-                span = format!("{:016x}", span.span_id.0),
-                parent = format!("{:016x}", span.parent_id.0),
-                begin_ns = span.begin_time_unix_ns,
-                duration_ns = span.duration_ns,
-                properties:serde = properties;
-                "{}", span.name
-            );
-        }
+impl Drop for Hop {
+    fn drop(&mut self) {
+        let Some(record) = &self.record else { return };
+        let properties = record.properties.lock().unwrap_or_else(|e| e.into_inner());
+        log::debug!(
+            target: LOG_TARGET,
+            trace = format!("{:032x}", self.trace),
+            span = format!("{:016x}", self.span),
+            parent = format!("{:016x}", self.parent),
+            duration_us = record.begin.elapsed().as_micros() as u64,
+            properties:serde = *properties;
+            "{}", self.name
+        );
     }
 }
 
-/// Starts reporting spans to the log, when the log takes them.
-pub fn init() {
-    if log::log_enabled!(target: LOG_TARGET, log::Level::Debug) {
-        fastrace::set_reporter(LogReporter, Config::default());
+/// Reads a trace context: trace, parent span and flags.
+fn parse(traceparent: &str) -> Option<(u128, u64, u8)> {
+    let fields: Vec<&str> = traceparent.split('-').collect();
+    let [version, trace, parent, flags] = fields.get(..FIELDS)?.try_into().ok()?;
+    let sizes = [version.len(), trace.len(), parent.len(), flags.len()];
+    if sizes != [2, 32, 16, 2] || version == "ff" {
+        return None;
     }
+    let trace = u128::from_str_radix(trace, 16).ok().filter(|t| *t != 0)?;
+    let parent = u64::from_str_radix(parent, 16).ok().filter(|p| *p != 0)?;
+    Some((trace, parent, u8::from_str_radix(flags, 16).ok()?))
+}
+
+fn random_trace() -> u128 {
+    rand::random_range(1..=u128::MAX)
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -133,6 +133,8 @@
             checks_grants: false,
             state,
             load: None,
+            instance: String::new(),
+            life: 0,
         };
         self.node.target.send_replace(Some(target));
     }
@@ -206,6 +208,7 @@
         checks_grants: false,
         state: TargetState::Ready,
         capacity: 0,
+        life: 0,
     });
 }
 
--- a/crates/daemon/tests/ports.rs
+++ b/crates/daemon/tests/ports.rs
@@ -12,7 +12,7 @@
 use googletest::prelude::*;
 use http::header::AUTHORIZATION;
 use masticdeal_wire::peer::{Forward, ForwardReply, Renew, Versions};
-use masticdeal_wire::target::Grant;
+use masticdeal_wire::target::{Grant, ReportAnswer};
 use masticdeal_wire::{codec, headers};
 use masticdeald::clock::Clock;
 use masticdeald::node::Node;
@@ -226,7 +226,11 @@
     let node = Arc::new(node);
     let listener = TcpListener::bind(LOCAL).await.unwrap();
     let port = listener.local_addr().unwrap();
-    tokio::spawn(owner::serve_announce(Arc::clone(&node), listener));
+    tokio::spawn(owner::serve_announce(
+        Arc::clone(&node),
+        listener,
+        Box::new(|_| ReportAnswer::default()),
+    ));
     let good = announcement(9, 2);
     let large = format!("{good}{}", " ".repeat(5_000));
     let extra = good.replace("\"slots\"", "\"more\":1,\"slots\"");
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -38,6 +38,7 @@
             checks_grants: false,
             state,
             capacity: 0,
+            life: 0,
         }),
     }
 }
--- a/crates/ownership/examples/balance.rs
+++ b/crates/ownership/examples/balance.rs
@@ -109,6 +109,7 @@
         checks_grants: true,
         state: TargetState::Ready,
         capacity: [100, 200, 400][at as usize % 3],
+        life: 0,
     };
     let session = |at: u32| Session {
         id: SessionId(at),
--- a/crates/ownership/examples/slopes.rs
+++ b/crates/ownership/examples/slopes.rs
@@ -34,6 +34,7 @@
         checks_grants: true,
         state: TargetState::Ready,
         capacity: 0,
+        life: 0,
     }
 }
 
@@ -98,6 +99,7 @@
         checks_grants: true,
         state: TargetState::Ready,
         capacity: 0,
+        life: 0,
     };
     core.handle(Duration::ZERO, Event::TargetChanged(Some(report)));
     let table = Some(Arc::new(base.clone()));
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -81,7 +81,8 @@
     ReleaseFirst,
     /// R6: a move names the epoch of the release
     ReleaseEpoch,
-    /// R7: a new daemon waits a full lease before it ends its predecessor
+    /// R7: a new daemon waits a full lease before it ends its predecessor, unless the same life of
+    /// the target is still beside it
     ReplaceWait,
     /// R8: a write without answer is read back before anything else
     ReadBack,
@@ -124,6 +125,8 @@
     /// Measured capacity in requests per second; 0 while it is not yet measured. Each new value
     /// costs a swap, so report changes above a tenth only.
     pub capacity: u32,
+    /// Names one life of the target; 0 when it does not tell its lives apart.
+    pub life: u64,
 }
 
 /// A service of the deployment configuration.
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -196,7 +196,7 @@
                 }
                 self.note_version(expiry.to, version);
             }
-            Event::TargetChanged(target) => self.target = target,
+            Event::TargetChanged(target) => self.target_changed(now, target),
             Event::ServicesDeclared(declared) => {
                 self.declared = declared;
                 self.learned_at = self.learned_at.max(now);
@@ -207,6 +207,23 @@
         }
     }
 
+    /// Takes over what the target announced. A new life of the target holds nothing, so what it
+    /// owns gets a higher epoch before it is granted again.
+    fn target_changed(&mut self, now: Duration, target: Option<TargetReport>) {
+        let life = target.as_ref().map_or(0, |t| t.life);
+        let own = self.session.and_then(|id| self.table.session(id));
+        let known = own.and_then(|s| s.target.as_ref()).map_or(0, |t| t.life);
+        let reported = self.target.as_ref().map_or(known, |t| t.life);
+        self.target = target;
+        if life == 0 || reported == 0 || life == reported {
+            return;
+        }
+        for held in self.owned.clone() {
+            self.begin_release(held, Purpose::NewLife);
+            self.releases.drained(now, held);
+        }
+    }
+
     fn dispatch_move(&mut self, now: Duration, event: Event) {
         match event {
             Event::MoveRequested { held, to, by } => self.move_requested(held, to, by),
--- a/crates/ownership/src/lease/draft.rs
+++ b/crates/ownership/src/lease/draft.rs
@@ -38,6 +38,20 @@
         fits
     }
 
+    fn assign(&mut self, service: ServiceId, owner: SessionId, shards: Vec<ShardId>) {
+        let what = What::Assigned {
+            service,
+            owner,
+            count: shards.len(),
+        };
+        let change = Change::Assign {
+            service,
+            owner,
+            shards,
+        };
+        self.push(change, what);
+    }
+
     fn end(&mut self, session: SessionId, term: u32, cause: EndCause) -> bool {
         let change = Change::End {
             session,
@@ -134,11 +148,15 @@
     }
 
     fn draft_join(&mut self, now: Duration, draft: &mut Draft) -> Option<()> {
+        let mut resumed = Vec::new();
         if let Some((old, term)) = self.predecessor().map(|old| (old.id, old.term)) {
             if now < self.replace_at() {
                 self.journal(What::Refused(Refusal::JoinWaits(old)));
                 return None;
             }
+            if self.resumes() {
+                resumed = shards_of(&draft.table, old);
+            }
             draft.end(old, term, EndCause::Replaced);
         }
         let me = self.me.clone();
@@ -171,6 +189,9 @@
         };
         if draft.push(Change::Join { session }, what) {
             draft.own = OwnChange::Lease;
+            for (service, shards) in resumed {
+                draft.assign(service, place.id, shards);
+            }
         }
         Some(())
     }
@@ -373,6 +394,9 @@
                     let to = if ready { to } else { me };
                     draft.move_shard(at, release, (me, to), MoveCause::Requested);
                 }
+                Purpose::NewLife => {
+                    draft.move_shard(at, release, (me, me), MoveCause::Requested);
+                }
                 Purpose::Leave => self.draft_leave_shard(now, me, at, release, draft),
                 Purpose::Override { key_hash, to } => {
                     let (service, from) = (at.0, Some((me, release.epoch)));
@@ -453,15 +477,24 @@
                 service,
                 owner,
                 shards,
-            } = &change
+            } = change
             {
-                let what = What::Assigned {
-                    service: *service,
-                    owner: *owner,
-                    count: shards.len(),
-                };
-                draft.push(change, what);
+                draft.assign(service, owner, shards);
             }
         }
     }
 }
+
+/// Returns the shards of a session, by service.
+fn shards_of(table: &Table, session: SessionId) -> Vec<(ServiceId, Vec<ShardId>)> {
+    let mut found = Vec::new();
+    for (at, service) in table.services.iter().enumerate() {
+        let owned = service.shards.iter().enumerate();
+        let owned = owned.filter(|(_, s)| s.owner == Some(session));
+        let shards: Vec<_> = owned.map(|(at, _)| ShardId(at as u32)).collect();
+        if !shards.is_empty() {
+            found.push((ServiceId(at as u16), shards));
+        }
+    }
+    found
+}
--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -192,12 +192,24 @@
         })
     }
 
-    /// Time from which an old session at the own address may be ended (R7).
+    /// Time from which an old session at the own address may be ended (R7). What the predecessor
+    /// granted is held by the target beside this daemon; when that is still the same life, nobody
+    /// else can come to hold it, and there is nothing to wait for.
     pub(super) fn replace_at(&self) -> Duration {
-        match self.settings.without {
-            Some(Rule::ReplaceWait) => self.me.bound_at,
-            _ => self.me.bound_at + lessor_length(&self.settings),
+        if self.settings.without == Some(Rule::ReplaceWait) || self.resumes() {
+            return self.me.bound_at;
         }
+        self.me.bound_at + lessor_length(&self.settings)
+    }
+
+    /// Tells whether the target is the same life that the predecessor granted to.
+    pub(super) fn resumes(&self) -> bool {
+        let known = self.predecessor().and_then(|old| old.target.as_ref());
+        let report = self.target.as_ref().filter(|t| t.life != 0);
+        known.zip(report).is_some_and(|(known, report)| {
+            let service = self.table.service(known.service);
+            known.life == report.life && service.is_some_and(|s| s.name == report.service)
+        })
     }
 
     /// Returns the session of an earlier process at the own address.
@@ -228,7 +240,7 @@
                 by: MoveBy::Planner,
                 ..
             } => at + self.settings.take_back,
-            Purpose::Leave => at + GROUP,
+            Purpose::Leave | Purpose::NewLife => at + GROUP,
             _ => at,
         })
     }
@@ -283,6 +295,7 @@
                 (_, state) => state,
             },
             capacity: report.capacity,
+            life: report.life,
         })
     }
 
--- a/crates/ownership/src/lease/releases.rs
+++ b/crates/ownership/src/lease/releases.rs
@@ -15,6 +15,8 @@
     Move { to: SessionId, by: MoveBy },
     /// Move to whatever target is ready, because the own target leaves.
     Leave,
+    /// Keep it under a higher epoch, because the target began a new life that holds nothing.
+    NewLife,
     /// Give one key of the shard an owner of its own.
     Override { key_hash: u64, to: SessionId },
 }
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -82,6 +82,9 @@
     pub state: TargetState,
     /// Capacity for the planner, in requests per second; 0 while it is not yet measured.
     pub capacity: u32,
+    /// Names one life of the target, which holds nothing of an earlier one; 0 when the target does
+    /// not tell its lives apart.
+    pub life: u64,
 }
 
 /// Whether a target takes new work.
--- a/crates/ownership/tests/planner.rs
+++ b/crates/ownership/tests/planner.rs
@@ -36,6 +36,7 @@
                 checks_grants: true,
                 state: TargetState::Ready,
                 capacity,
+                life: 0,
             }),
         };
         changes.push(Change::Join { session });
--- a/crates/ownership/tests/table.rs
+++ b/crates/ownership/tests/table.rs
@@ -34,6 +34,7 @@
         checks_grants: true,
         state: TargetState::Ready,
         capacity: 0,
+        life: 0,
     })
 }
 
--- /dev/null
+++ b/crates/platform/src/binding.rs
@@ -0,0 +1,124 @@
+//! How calls to the key-value service look on the wire.
+//!
+//! The client speaks in [`Op`] and [`Answer`]; a [`Binding`] turns the one into an HTTP request and
+//! an HTTP response into the other. Connections, time limits and counters are the client's own, so
+//! that all bindings share them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+
+use crate::{Error, Result, Value};
+
+/// One call.
+#[derive(Debug, Clone, Copy)]
+pub enum Op<'a> {
+    /// Reads a key.
+    Get {
+        /// The key.
+        key: &'a str,
+    },
+    /// Writes a key that stands at a given revision.
+    Swap {
+        /// The key.
+        key: &'a str,
+        /// Revision that the key stands at; 0 means that it must not exist.
+        expect: u64,
+        /// The new value.
+        bytes: &'a Bytes,
+        /// Lease with which the key vanishes.
+        lease: Option<&'a str>,
+    },
+    /// Waits for a change of a key.
+    Watch {
+        /// The key.
+        key: &'a str,
+        /// Revision after which a change counts.
+        after: u64,
+        /// Longest wait.
+        wait: Duration,
+    },
+    /// Takes a lease.
+    LeaseGrant {
+        /// Time to live.
+        ttl: Duration,
+    },
+    /// Renews a lease.
+    LeaseRenew {
+        /// Id of the lease.
+        id: &'a str,
+    },
+    /// Gives a lease up.
+    LeaseRevoke {
+        /// Id of the lease.
+        id: &'a str,
+    },
+}
+
+/// What the service said.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The value of a key, and the revision of the service at that moment.
+    Read(Watched),
+    /// The write took effect under this revision.
+    Written(u64),
+    /// The key stands at this revision; the write did not take effect.
+    Conflict(u64),
+    /// What a watch saw.
+    Watched(Watched),
+    /// Id of a new lease.
+    Lease(String),
+    /// Whether the lease was live.
+    LeaseLived(bool),
+}
+
+/// What a read or a watch saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Watched {
+    /// The newest value; `None` when the key does not exist, or did not change.
+    pub value: Option<Value>,
+    /// Revision from which the next watch continues.
+    pub at: u64,
+}
+
+/// An HTTP request without its address.
+#[derive(Debug, Clone)]
+pub struct Message {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An HTTP response, read in full.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A wire format of the service.
+#[derive(Debug, Clone, Copy)]
+pub struct Binding {
+    /// Writes a call.
+    pub encode: fn(&Op<'_>) -> Message,
+    /// Reads the answer to a call. A status that the format does not know is
+    /// [`Error::Status`](crate::Error::Status), which leaves the outcome of a write open.
+    pub decode: fn(&Op<'_>, &Reply) -> Result<Answer>,
+}
+
+impl Reply {
+    /// Returns the error of a status that the call does not expect.
+    pub fn unexpected<T>(&self) -> Result<T> {
+        Err(Error::Status(self.status.as_u16()))
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,4 +1,4 @@
-//! The HTTP binding of the platform's service.
+//! The client: connections, time limits and counters of all bindings.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,19 +6,27 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{Method, Request, Response, StatusCode};
+use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use masticdeal_wire::headers;
 
+use crate::binding::{Answer, Binding, Message, Op, Reply, Watched};
 use crate::counts::{Call, Counts};
+use crate::own::OWN;
 
 /// Largest value that the service holds, in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Largest answer in bytes: a value of the largest size as base64, with some room for its fields.
+const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES * 4 / 3 + (64 << 10);
+
+/// Idle time of a connection after which it is probed, the time between two probes, and the probes
+/// without an answer after which it is closed. A watch waits for half a minute, and a connection
+/// that has gone silent must not hide a change for that long.
+const KEEP_ALIVE: (Duration, Duration, u32) = (Duration::from_secs(1), Duration::from_secs(1), 2);
+
 /// How to reach the service.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -26,6 +34,18 @@
     pub address: SocketAddr,
     /// Longest wait for an answer, apart from the wait that a watch asks for.
     pub timeout: Duration,
+    /// Wire format.
+    pub binding: Binding,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 7100)),
+            timeout: Duration::from_millis(500),
+            binding: OWN,
+        }
+    }
 }
 
 /// Why a call has no answer.
@@ -39,6 +59,8 @@
     Status(u16),
     /// platform service sent a malformed answer: {0}
     Malformed(&'static str),
+    /// platform service no longer holds the history that a watch asked for
+    Compacted,
     /// value of {0} bytes exceeds the limit of 1048576 bytes
     TooLarge(usize),
 }
@@ -82,6 +104,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(settings.timeout));
+        connector.set_keepalive(Some(KEEP_ALIVE.0));
+        connector.set_keepalive_interval(Some(KEEP_ALIVE.1));
+        connector.set_keepalive_retries(Some(KEEP_ALIVE.2));
         let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
         Self {
             http,
@@ -101,13 +126,19 @@
     ///
     /// Any [`Error`]; a read has no effect and may be repeated.
     pub async fn get(&self, key: &str) -> Result<Option<Value>> {
+        Ok(self.read(key).await?.value)
+    }
+
+    /// Reads a key and returns the revision from which a watch continues.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; a read has no effect and may be repeated.
+    pub async fn read(&self, key: &str) -> Result<Watched> {
         self.counts.add(Call::Get);
-        let req = self.request(Method::GET, &format!("/v1/kv/{key}"));
-        let answer = self.call(req, Bytes::new(), self.settings.timeout).await?;
-        match answer.status {
-            StatusCode::OK => answer.into_value().map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(Error::Status(other.as_u16())),
+        match self.call(&Op::Get { key }).await? {
+            Answer::Read(read) => Ok(read),
+            _ => Err(Error::Malformed("not the answer to a read")),
         }
     }
 
@@ -118,42 +149,31 @@
             return Written::Unknown(Error::TooLarge(bytes.len()));
         }
         self.counts.add(Call::Swap);
-        let mut req = self
-            .request(Method::PUT, &format!("/v1/kv/{key}"))
-            .header(headers::IF_REVISION, expect);
-        if let Some(lease) = lease {
-            req = req.header(headers::LEASE, lease);
-        }
-        let answer = match self.call(req, bytes, self.settings.timeout).await {
-            Ok(answer) => answer,
-            Err(e) => return Written::Unknown(e),
+        let op = Op::Swap {
+            key,
+            expect,
+            bytes: &bytes,
+            lease,
         };
-        match (answer.status, answer.revision) {
-            (StatusCode::OK, Some(revision)) => Written::Done(revision),
-            (StatusCode::CONFLICT, Some(revision)) => Written::Conflict(revision),
-            (StatusCode::OK | StatusCode::CONFLICT, None) => {
-                Written::Unknown(Error::Malformed("no revision"))
-            }
-            (other, _) => Written::Unknown(Error::Status(other.as_u16())),
+        match self.call(&op).await {
+            Ok(Answer::Written(revision)) => Written::Done(revision),
+            Ok(Answer::Conflict(revision)) => Written::Conflict(revision),
+            Ok(_) => Written::Unknown(Error::Malformed("not the answer to a write")),
+            Err(e) => Written::Unknown(e),
         }
     }
 
-    /// Waits up to `wait` for a revision of the key above `after`. Returns `None` when there was
-    /// none.
+    /// Waits up to `wait` for a change of the key after revision `after`.
     ///
     /// # Errors
     ///
-    /// Any [`Error`]; a watch has no effect and may be repeated.
-    pub async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Value>> {
+    /// [`Error::Compacted`] when the changes since `after` are gone: read the key and continue from
+    /// there. Any other [`Error`]; a watch has no effect and may be repeated.
+    pub async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Watched> {
         self.counts.add(Call::Watch);
-        let path = format!("/v1/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
-        let req = self.request(Method::GET, &path);
-        let limit = wait + self.settings.timeout;
-        let answer = self.call(req, Bytes::new(), limit).await?;
-        match answer.status {
-            StatusCode::OK => answer.into_value().map(Some),
-            StatusCode::NO_CONTENT => Ok(None),
-            other => Err(Error::Status(other.as_u16())),
+        match self.call(&Op::Watch { key, after, wait }).await? {
+            Answer::Watched(watched) => Ok(watched),
+            _ => Err(Error::Malformed("not the answer to a watch")),
         }
     }
 
@@ -164,13 +184,10 @@
     /// Any [`Error`]; a lease whose id was lost lapses by itself.
     pub async fn lease_grant(&self, ttl: Duration) -> Result<String> {
         self.counts.add(Call::Lease);
-        let path = format!("/v1/lease?ttl_ms={}", ttl.as_millis());
-        let req = self.request(Method::POST, &path);
-        let answer = self.call(req, Bytes::new(), self.settings.timeout).await?;
-        if answer.status != StatusCode::OK {
-            return Err(Error::Status(answer.status.as_u16()));
+        match self.call(&Op::LeaseGrant { ttl }).await? {
+            Answer::Lease(id) => Ok(id),
+            _ => Err(Error::Malformed("lease id")),
         }
-        String::from_utf8(answer.body.to_vec()).map_err(|_| Error::Malformed("lease id"))
     }
 
     /// Renews a lease. Returns `false` when it has lapsed.
@@ -179,7 +196,7 @@
     ///
     /// Any [`Error`]; the lease may or may not be renewed.
     pub async fn lease_renew(&self, id: &str) -> Result<bool> {
-        self.lease_call(Method::PUT, id).await
+        self.lease_call(&Op::LeaseRenew { id }).await
     }
 
     /// Gives a lease up. Returns `false` when it had lapsed.
@@ -188,81 +205,49 @@
     ///
     /// Any [`Error`]; the lease lapses by itself.
     pub async fn lease_revoke(&self, id: &str) -> Result<bool> {
-        self.lease_call(Method::DELETE, id).await
+        self.lease_call(&Op::LeaseRevoke { id }).await
     }
 
-    async fn lease_call(&self, method: Method, id: &str) -> Result<bool> {
+    async fn lease_call(&self, op: &Op<'_>) -> Result<bool> {
         self.counts.add(Call::Lease);
-        let req = self.request(method, &format!("/v1/lease/{id}"));
-        let answer = self.call(req, Bytes::new(), self.settings.timeout).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::NO_CONTENT => Ok(true),
-            StatusCode::NOT_FOUND => Ok(false),
-            other => Err(Error::Status(other.as_u16())),
+        match self.call(op).await? {
+            Answer::LeaseLived(lived) => Ok(lived),
+            _ => Err(Error::Malformed("not the answer about a lease")),
         }
     }
 
-    fn request(&self, method: Method, path: &str) -> http::request::Builder {
-        let uri = format!("http://{}{path}", self.settings.address);
-        Request::builder().method(method).uri(uri)
+    async fn call(&self, op: &Op<'_>) -> Result<Answer> {
+        let limit = match op {
+            Op::Watch { wait, .. } => *wait + self.settings.timeout,
+            _ => self.settings.timeout,
+        };
+        let message = (self.settings.binding.encode)(op);
+        let reply = tokio::time::timeout(limit, self.exchange(message)).await;
+        let reply = reply.map_err(|_| Error::Timeout)??;
+        (self.settings.binding.decode)(op, &reply)
     }
 
-    async fn call(
-        &self,
-        req: http::request::Builder,
-        body: Bytes,
-        limit: Duration,
-    ) -> Result<Answer> {
+    async fn exchange(&self, message: Message) -> Result<Reply> {
+        let uri = format!("http://{}{}", self.settings.address, message.path);
+        let mut req = Request::builder().method(message.method).uri(uri);
+        for (name, value) in message.headers {
+            req = req.header(name, value);
+        }
         let req = req
-            .body(Full::new(body))
+            .body(Full::new(message.body))
             .map_err(|_| Error::Malformed("request"))?;
-        let exchange = async {
-            let rx = self
-                .http
-                .request(req)
-                .await
-                .map_err(|e| Error::Unreachable(e.to_string()))?;
-            Answer::read(rx).await
-        };
-        tokio::time::timeout(limit, exchange)
-            .await
-            .map_err(|_| Error::Timeout)?
-    }
-}
-
-/// A whole answer of the service.
-#[derive(Debug)]
-struct Answer {
-    status: StatusCode,
-    revision: Option<u64>,
-    body: Bytes,
-}
-
-impl Answer {
-    async fn read(rx: Response<Incoming>) -> Result<Self> {
-        let status = rx.status();
-        let revision = rx
-            .headers()
-            .get(headers::REVISION)
-            .and_then(|v| v.to_str().ok())
-            .and_then(|v| v.parse().ok());
-        let body = Limited::new(rx.into_body(), MAX_VALUE_BYTES)
-            .collect()
-            .await
-            .map_err(|e| Error::Unreachable(e.to_string()))?
-            .to_bytes();
-        Ok(Self {
-            status,
-            revision,
-            body,
+        let rx = self.http.request(req).await.map_err(unreachable)?;
+        let (parts, body) = rx.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|e| Error::Unreachable(e.to_string()))?;
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
         })
     }
+}
 
-    fn into_value(self) -> Result<Value> {
-        let revision = self.revision.ok_or(Error::Malformed("no revision"))?;
-        Ok(Value {
-            revision,
-            bytes: self.body,
-        })
-    }
+fn unreachable(e: legacy::Error) -> Error {
+    Error::Unreachable(e.to_string())
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -140,6 +140,19 @@
     NotOwner,
 }
 
+/// What a target handed over for the next owner of a shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The service.
+    pub service: ServiceId,
+    /// The shard.
+    pub shard: ShardId,
+    /// Epoch under which the next owner holds the shard.
+    pub epoch: Epoch,
+    /// The target's own text.
+    pub text: String,
+}
+
 /// Asks a daemon for the load of what it owns.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadAsk {
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -19,6 +19,76 @@
     /// Load as the target reports it, 1.0 meaning that all slots are busy. A hint only.
     #[serde(default)]
     pub load: Option<f32>,
+    /// Identifier by which requests can name the target; empty when it has none.
+    #[serde(default)]
+    pub instance: String,
+    /// Names one life of the target; 0 when it does not tell its lives apart.
+    #[serde(default)]
+    pub life: u64,
+}
+
+/// A report of a target that takes its grants as the answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// What the target says of itself.
+    pub announce: Announce,
+    /// Rises with each report of one life.
+    pub sequence: u64,
+    /// Ranges that the target holds or still works on.
+    pub holds: Vec<HeldRange>,
+    /// Ranges that it released since its last report that was answered.
+    pub released: Vec<ReleasedRange>,
+}
+
+/// Keys from `first` to `last`, both included, that a target holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldRange {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// Epoch under which it holds them.
+    pub epoch: u32,
+}
+
+/// Keys that a target released.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleasedRange {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// What the next holder needs in order to serve them without a warm-up; opaque.
+    pub handover: String,
+}
+
+/// The answer to a [`Report`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReportAnswer {
+    /// Everything that the target is to hold; `None` renews nothing and takes nothing away.
+    pub grant: Option<RangeGrant>,
+}
+
+/// Everything that a target is to hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RangeGrant {
+    /// Length, counted by the target from when it sent its report.
+    pub hold: std::time::Duration,
+    /// The ranges.
+    pub ranges: Vec<GrantedRange>,
+}
+
+/// Keys from `first` to `last`, both included, that a target is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GrantedRange {
+    /// Lowest key.
+    pub first: u16,
+    /// Highest key.
+    pub last: u16,
+    /// Epoch, the fencing token.
+    pub epoch: u32,
+    /// What the last holder handed over; empty when there is nothing.
+    pub handover: String,
 }
 
 /// State in an announcement.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -43,6 +43,7 @@
             checks_grants: true,
             state: TargetState::Ready,
             capacity: u32::MAX,
+            life: 0,
         }),
     }
 }
