Bound what a request costs that nobody can serve, and start requests by their objectives

Change: policy/redirect.rs decides how often a request goes elsewhere or waits, and when it is refused with which advice; the queue has an order by objective, which calls with little time go through first, and refuses what cannot be in time; targets are chosen by the owners' own counts, near ones first by the size of their answers; a refusal by a target that is not full no longer lowers its slots; a request waits at its owner for the grant in place of asking again.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -26,6 +26,8 @@
     pub target: Target,
     /// Section `[retries]`.
     pub retries: Retries,
+    /// Section `[placing]`.
+    pub placing: Placing,
 }
 
 /// Who the daemon is.
@@ -129,12 +131,21 @@
 /// Retries that all daemons share.
 #[derive(Debug, Clone)]
 pub struct Retries {
+    /// Retries as a share of recent requests, in place of each service's own.
+    pub share: Option<f64>,
     /// Retries in each window beyond the share of each service, for the whole fleet.
     pub reserve: u32,
     /// Length of the window.
     pub window: Duration,
 }
 
+/// Choice of a target for services that are not divided by key.
+#[derive(Debug, Clone)]
+pub struct Placing {
+    /// Time for which an answer may be held up to keep a kilobyte of it in the data centre.
+    pub far_per_kb: Duration,
+}
+
 /// Logging.
 #[derive(Debug, Clone)]
 pub struct Log {
@@ -211,9 +222,18 @@
     }
 }
 
+impl Default for Placing {
+    fn default() -> Self {
+        Self {
+            far_per_kb: Duration::from_micros(100),
+        }
+    }
+}
+
 impl Default for Retries {
     fn default() -> Self {
         Self {
+            share: None,
             reserve: 0,
             window: Duration::from_secs(10),
         }
--- a/crates/config/src/settings_read.rs
+++ b/crates/config/src/settings_read.rs
@@ -5,12 +5,13 @@
 use crate::fault::{Faults, Problem};
 use crate::reader::{Reader, hint};
 use crate::settings::{
-    Daemon, Lease, Limits, Listen, Log, Platform, Retries, Secret, Settings, Target,
+    Daemon, Lease, Limits, Listen, Log, Placing, Platform, Retries, Secret, Settings, Target,
 };
 use crate::text::{Section, split};
 
-const SECTIONS: [&str; 9] = [
+const SECTIONS: [&str; 10] = [
     "daemon", "listen", "platform", "lease", "limits", "secret", "log", "target", "retries",
+    "placing",
 ];
 const REQUIRED: [&str; 4] = ["daemon", "listen", "platform", "secret"];
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
@@ -93,6 +94,7 @@
         "log" => read_log(&mut settings.log, reader),
         "target" => read_target(&mut settings.target, reader),
         "retries" => read_retries(&mut settings.retries, reader),
+        "placing" => read_placing(&mut settings.placing, reader),
         _ => {}
     }
 }
@@ -216,11 +218,21 @@
 }
 
 fn read_retries(retries: &mut Retries, reader: &mut Reader<'_, '_>) {
-    reader.check_keys(&["reserve", "window_s"], None);
+    reader.check_keys(&["share", "reserve", "window_s"], None);
+    if reader.entry("share").is_some() {
+        let mut share = 0.0;
+        reader.number("share", 0.0..=1.0, "", &mut share);
+        retries.share = Some(share);
+    }
     reader.number("reserve", 0..=1_000_000, " retries", &mut retries.reserve);
     reader.seconds("window_s", 0.1..=600.0, &mut retries.window);
 }
 
+fn read_placing(placing: &mut Placing, reader: &mut Reader<'_, '_>) {
+    reader.check_keys(&["far_ms_per_kb"], None);
+    reader.millis("far_ms_per_kb", 0..=60_000, &mut placing.far_per_kb);
+}
+
 fn read_secret(secret: &mut Secret, reader: &mut Reader<'_, '_>) {
     reader.check_keys(&["peers", "operators"], None);
     read_one_secret("peers", &mut secret.peers, reader);
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -1,42 +1,33 @@
 //! Attempts of one request, until an answer or a final failure.
 //!
-//! Two kinds of failure lead to another attempt. A redirect is a `NotRun` that says the request
-//! went to the wrong place or that nobody may serve it at the moment; it waits for a newer table
-//! and costs no retry budget, so that a takeover shows as latency. Everything else is decided by
-//! [`masticdeal_policy::retry`].
+//! Two kinds of failure lead to another attempt. One that nobody ran, since it went to the wrong
+//! place or found no room, is decided by [`masticdeal_policy::redirect`]; it costs no retry budget,
+//! so that a move shows as latency. Everything else is decided by [`masticdeal_policy::retry`].
 
 use std::time::Duration;
 
+use http_body::Body as _;
+use masticdeal_config::deployment::Service;
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_policy::outcome::Ending;
+use masticdeal_policy::redirect::{self, Next, Obstacle};
 use masticdeal_policy::retry::{Decision, Failed};
 use masticdeal_policy::{self as policy, Verdict};
 use masticdeal_wire::peer::Reason;
 use tokio::time::{sleep, timeout};
 
 use super::Ingress;
-use super::balance::{Balance, Choice};
+use super::balance::{Balance, Choice, Rules};
 use super::head::Head;
 use super::replay::Replay;
 use super::route::{self, Route};
-use crate::exchange::{Answer, BodyError, Failure, Outcome, Request};
+use crate::exchange::{Answer, BodyError, Failure, Outcome, Request, to_wire_ms};
 use crate::telemetry::metrics::ByReason;
 
-/// Longest time that a request waits for somebody who may serve it. A takeover ends within a
-/// second; an operator's action may take longer.
-const OWNER_WAIT: Duration = Duration::from_secs(3);
-
 /// Time before the deadline from which no redirected attempt starts. One that is written and gets
 /// no answer in time turns a certain `NotRun` into `MayHaveRun`.
 const RESERVE: Duration = Duration::from_millis(20);
 
-/// First and longest wait for a newer table before the same place is tried again.
-const REDIRECT_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(5), Duration::from_millis(50));
-
-/// Advice to a caller whose request found nobody to serve it.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Deadline from which a late target is at fault, and not the caller's impatience.
 const FAIR_DEADLINE: Duration = Duration::from_millis(250);
 
@@ -53,11 +44,11 @@
 /// Progress of one request.
 struct Progress {
     attempts: u32,
-    redirects: u32,
     tried: Vec<SessionId>,
-    /// When waiting for somebody to serve the request ends, as time since boot.
-    wait_until: Duration,
-    /// Why the request had to wait last.
+    redirects: redirect::Progress,
+    /// Last instant at which an attempt is worth while, as time since boot.
+    latest: Duration,
+    /// Why nobody ran the request last.
     redirected: Option<Failure>,
 }
 
@@ -66,14 +57,13 @@
     pub(super) async fn attempts(&self, head: Head, body: &Replay) -> Result<Answered, Failure> {
         let now = self.node.clock.now();
         let service = head.service().ok_or(Failure::not_run(Reason::NoService))?;
-        let balance = self.services.get(now, service);
-        balance.begin(now, service);
-        let latest = head.deadline.instant().saturating_sub(RESERVE);
+        let balance = self.services.get(now, &self.retry_rules(service));
+        balance.begin(now);
         let mut progress = Progress {
             attempts: 0,
-            redirects: 0,
             tried: Vec::new(),
-            wait_until: latest.min(now + OWNER_WAIT),
+            redirects: redirect::Progress::default(),
+            latest: head.deadline.instant().saturating_sub(RESERVE),
             redirected: None,
         };
         loop {
@@ -104,13 +94,29 @@
         }
     }
 
+    /// Returns the rules of a service's retries: its own, or this daemon's part of what the settings
+    /// give to the whole fleet.
+    fn retry_rules(&self, service: &Service) -> Rules {
+        let fleet = &self.node.settings.retries;
+        let daemons = self.node.table.borrow().sessions.len().max(1);
+        Rules {
+            name: service.name.clone(),
+            retry_budget: fleet.share.unwrap_or(service.retry_budget),
+            reserve: f64::from(fleet.reserve) / daemons as f64,
+            window: fleet.window,
+            max_ejected: service.max_ejected,
+        }
+    }
+
     async fn attempt(&self, head: &Head, route: Route, body: &Replay) -> Result<Answered, Failure> {
         let mut forward = head.forward.clone();
         forward.service = route.service;
         forward.shard = route.shard;
         forward.versions = self.node.versions();
+        let now = self.node.clock.now();
+        forward.objective_ms = head.due.map(|due| to_wire_ms(due.saturating_sub(now)));
         let deadline = head.deadline.instant();
-        let given = deadline.saturating_sub(self.node.clock.now());
+        let given = deadline.saturating_sub(now);
         let body_of_attempt = body
             .next_attempt()
             .ok_or(Failure::not_run(Reason::Cancelled))?;
@@ -129,7 +135,12 @@
             record(choice, &outcome, given);
         }
         match outcome {
-            Outcome::Answer(answer) => Ok(Answered { answer, vm, choice }),
+            Outcome::Answer(answer) => {
+                if let Some(choice) = &choice {
+                    choice.note_size(answer.body.size_hint().exact());
+                }
+                Ok(Answered { answer, vm, choice })
+            }
             Outcome::Failed(failure) if body.failed() == Some(BodyError::TooLarge) => {
                 Err(Failure {
                     reason: Reason::TooLarge,
@@ -149,9 +160,8 @@
         failure: Failure,
         table: u64,
     ) -> Result<(), Failure> {
-        if is_redirect(&failure) {
-            let chosen = head.forward.key_hash.is_none() && failure.reason != Reason::NoTarget;
-            return self.redirect(progress, failure, table, chosen).await;
+        if let Some(obstacle) = obstacle(&failure, head) {
+            return self.redirect(progress, failure, obstacle, table).await;
         }
         if let Some(redirected) = progress.redirected
             && (failure.verdict, failure.reason) == (Verdict::NotRun, Reason::Deadline)
@@ -186,55 +196,60 @@
         &self,
         progress: &mut Progress,
         failure: Failure,
+        obstacle: Obstacle,
         table: u64,
-        chosen: bool,
     ) -> Result<(), Failure> {
-        let retry_after = failure.retry_after.or(Some(RETRY_AFTER));
-        let failure = Failure {
-            retry_after,
-            ..failure
-        };
         progress.redirected = Some(failure);
-        let left = progress.wait_until.saturating_sub(self.node.clock.now());
-        if left.is_zero() {
-            return Err(failure);
-        }
-        if chosen {
-            // Another target can take the request at once.
-            return Ok(());
-        }
+        let next = progress.redirects.next(
+            self.node.clock.now(),
+            obstacle,
+            progress.latest,
+            failure.retry_after,
+            &self.redirects,
+            rand::random(),
+        );
+        let wait = match next {
+            Next::Elsewhere => return Ok(()),
+            Next::Wait(wait) => wait,
+            Next::Refuse(after) => {
+                return Err(Failure {
+                    retry_after: Some(after),
+                    ..failure
+                });
+            }
+        };
         progress.tried.clear();
         let _waiting = self.waiting.try_acquire().map_err(|_| failure)?;
         let mut tables = self.node.table.subscribe();
-        let longer = REDIRECT_BACKOFF.0 * 2u32.saturating_pow(progress.redirects.min(8));
-        progress.redirects += 1;
-        let wait = longer.min(REDIRECT_BACKOFF.1);
-        let newer = timeout(wait.min(left), tables.wait_for(|t| t.version != table)).await;
-        if newer.is_err() && wait >= left {
-            Err(failure)
-        } else {
-            Ok(())
-        }
+        let _ = timeout(wait, tables.wait_for(|t| t.version != table)).await;
+        Ok(())
     }
 }
 
-/// Returns whether the request may go elsewhere, or to the same place a little later, without
-/// regard to the retry budget.
-fn is_redirect(failure: &Failure) -> bool {
-    let elsewhere = matches!(
-        failure.reason,
-        Reason::NoOwner
-            | Reason::NoTarget
-            | Reason::WrongOwner
-            | Reason::LeaseExpired
-            | Reason::Moving
-            | Reason::TargetAway
-            | Reason::TargetFailed
-            | Reason::PeerFailed
-            | Reason::Silent
-            | Reason::ShuttingDown
-    );
-    elsewhere && failure.verdict == Verdict::NotRun
+/// Returns why nobody ran the request, when that may change without regard to the retry budget.
+fn obstacle(failure: &Failure, head: &Head) -> Option<Obstacle> {
+    if failure.verdict != Verdict::NotRun {
+        return None;
+    }
+    let divided = head.forward.key_hash.is_some();
+    match failure.reason {
+        Reason::Moving | Reason::WrongOwner => Some(Obstacle::Moving),
+        Reason::NoOwner | Reason::NoTarget => Some(Obstacle::Unowned),
+        Reason::QueueFull | Reason::Deadline if !divided && failure.retry_after.is_some() => {
+            Some(Obstacle::Busy)
+        }
+        Reason::LeaseExpired
+        | Reason::TargetAway
+        | Reason::TargetFailed
+        | Reason::PeerFailed
+        | Reason::Silent
+        | Reason::ShuttingDown => Some(if divided {
+            Obstacle::Unowned
+        } else {
+            Obstacle::Gone
+        }),
+        _ => None,
+    }
 }
 
 fn record(choice: &Choice, outcome: &Outcome, given: Duration) {
--- a/crates/daemon/src/ingress/balance.rs
+++ b/crates/daemon/src/ingress/balance.rs
@@ -5,17 +5,27 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use masticdeal_config::deployment::Service;
 use masticdeal_ownership::ids::{ServiceId, SessionId};
 use masticdeal_ownership::table::{Session, Table, TargetState};
-use masticdeal_policy::balance::{Balancer, Sent, TargetIx};
-use masticdeal_policy::classes::{self, Class, Classes, Cost, ShapeId};
+use masticdeal_policy::balance::{Balancer, Count, Place, Sent, TargetIx};
+use masticdeal_policy::classes::{self, Class, Classes, ShapeId};
 use masticdeal_policy::eject::{Ejector, Standing};
 use masticdeal_policy::retry::{self, Budget, BudgetSettings, Decision, Failed};
 use masticdeal_policy::{Outcome, balance, eject};
 use masticdeal_wire::peer::LoadHint;
 
 use crate::clock::Clock;
+use crate::node::Node;
+
+/// Part of the fleet's reserve that a daemon takes in one window. Tokens of the window before may be
+/// left, so that up to twice as many retries fall into one.
+const RESERVE_PART: f64 = 0.4;
+
+/// Weight of a new answer in the smoothed size of answers.
+const SIZE_WEIGHT: f64 = 0.1;
+
+/// Shapes whose sizes are kept.
+const MAX_SIZES: usize = 1_024;
 
 /// State of all services, by name.
 #[derive(Default)]
@@ -25,15 +35,17 @@
 
 impl Services {
     /// Returns the state of a service, with its present rules.
-    pub fn get(&self, now: Duration, service: &Service) -> Balance {
+    pub fn get(&self, now: Duration, rules: &Rules) -> Balance {
         let mut services = self.services.lock().unwrap_or_else(|e| e.into_inner());
-        if !services.contains_key(&service.name) {
-            let state = Arc::new(Mutex::new(State::new(now, service)));
-            services.insert(service.name.clone(), state);
-        }
-        Balance {
-            state: Arc::clone(&services[&service.name]),
+        if !services.contains_key(&rules.name) {
+            let state = Arc::new(Mutex::new(State::new(now, rules)));
+            services.insert(rules.name.clone(), state);
         }
+        let state = Arc::clone(&services[&rules.name]);
+        drop(services);
+        let balance = Balance { state };
+        balance.set_rules(rules);
+        balance
     }
 }
 
@@ -53,13 +65,23 @@
     /// Version of the table that the targets were taken from.
     table: Option<u64>,
     targets: Vec<Target>,
+    /// Smoothed size of the answers to each shape of requests, in bytes.
+    sizes: HashMap<ShapeId, f64>,
 }
 
-/// The rules that the state was made with.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Rules {
-    retry_budget: f64,
-    max_ejected: f64,
+/// Rules of one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rules {
+    /// Name of the service.
+    pub name: String,
+    /// Retries as a share of recent requests.
+    pub retry_budget: f64,
+    /// Retries in each window beyond that share.
+    pub reserve: f64,
+    /// Time over which requests count as recent.
+    pub window: Duration,
+    /// Part of the targets that may be ejected at once.
+    pub max_ejected: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -70,21 +92,21 @@
 }
 
 impl State {
-    fn new(now: Duration, service: &Service) -> Self {
-        let rules = Rules::of(service);
+    fn new(now: Duration, rules: &Rules) -> Self {
         Self {
             budget: budget(now, rules),
             classes: Classes::new(classes::Settings::default()),
             balancer: Balancer::new(balance::Settings::default()),
             ejector: ejector(rules, 0),
-            rules,
+            rules: rules.clone(),
+            sizes: HashMap::new(),
             table: None,
             targets: Vec::new(),
         }
     }
 
     /// Takes over the targets of the service from the table.
-    fn follow(&mut self, now: Duration, table: &Table, service: ServiceId) {
+    fn follow(&mut self, now: Duration, home: &str, table: &Table, service: ServiceId) {
         if self.table.replace(table.version) == Some(table.version) {
             return;
         }
@@ -100,12 +122,12 @@
             }
         }
         for session in ready {
-            self.add(now, session);
+            self.add(now, home, session);
         }
         self.ejector.resize(self.targets.len());
     }
 
-    fn add(&mut self, now: Duration, session: &Session) {
+    fn add(&mut self, now: Duration, home: &str, session: &Session) {
         let slots = session.target.as_ref().map_or(1, |t| t.slots);
         let known = self.targets.iter().position(|t| t.session == session.id);
         let at = known.unwrap_or_else(|| self.place(now));
@@ -123,6 +145,11 @@
             // The ramp is left to the owner, which sees every request to its target.
             self.balancer.add(now, TargetIx(at as u32), false);
         }
+        let place = Place {
+            near: session.data_centre == home,
+            slots,
+        };
+        self.balancer.set_place(TargetIx(at as u32), place);
     }
 
     /// Returns an index that nothing refers to any more, or a new one.
@@ -137,14 +164,14 @@
             .unwrap_or(self.targets.len())
     }
 
-    fn choose(&mut self, now: Duration, cost: Cost, tried: &[SessionId]) -> Option<TargetIx> {
+    fn choose(&mut self, now: Duration, far: Duration, tried: &[SessionId]) -> Option<TargetIx> {
         let (targets, ejector) = (&self.targets, &self.ejector);
         let untried = |ix: TargetIx| !tried.contains(&targets[ix.0 as usize].session);
         let open = |ix: TargetIx| untried(ix) && ejector.standing(now, ix) != Standing::Out;
         let mut rng = rand::rng();
-        let chosen = self.balancer.choose_for(now, &mut rng, cost, open);
+        let chosen = self.balancer.choose_placed(now, &mut rng, far, open);
         // An ejected target is better than none.
-        let chosen = chosen.or_else(|| self.balancer.choose_for(now, &mut rng, cost, untried))?;
+        let chosen = chosen.or_else(|| self.balancer.choose_placed(now, &mut rng, far, untried))?;
         if self.ejector.standing(now, chosen) == Standing::Probe {
             self.ejector.begin_probe(now, chosen);
         }
@@ -152,26 +179,25 @@
     }
 }
 
-impl Rules {
-    fn of(service: &Service) -> Self {
-        Self {
-            retry_budget: service.retry_budget,
-            max_ejected: service.max_ejected,
-        }
-    }
-}
-
 impl Balance {
-    /// Counts a request of a caller, and takes over changed rules.
-    pub fn begin(&self, now: Duration, service: &Service) {
+    fn set_rules(&self, rules: &Rules) {
         let mut state = self.lock();
-        let rules = Rules::of(service);
-        if rules != state.rules {
-            state.budget = budget(now, rules);
+        let known = &state.rules;
+        let same_ejector = known.max_ejected == rules.max_ejected;
+        if *known == *rules {
+            return;
+        }
+        // A budget that started anew with each change of the fleet would be a full one each time.
+        state.budget.set(budget_settings(rules));
+        if !same_ejector {
             state.ejector = ejector(rules, state.targets.len());
-            state.rules = rules;
         }
-        state.budget.deposit(now);
+        state.rules = rules.clone();
+    }
+
+    /// Counts a request of a caller.
+    pub fn begin(&self, now: Duration) {
+        self.lock().budget.deposit(now);
     }
 
     /// Decides whether a failed attempt is made again.
@@ -189,25 +215,28 @@
     /// Chooses the target of a request among those not tried yet.
     pub fn choose(
         &self,
-        clock: &Arc<dyn Clock>,
+        node: &Node,
         table: &Table,
         service: ServiceId,
         shape: classes::Request<'_>,
         tried: &[SessionId],
     ) -> Option<Choice> {
-        let now = clock.now();
+        let now = node.clock.now();
         let mut state = self.lock();
-        state.follow(now, table, service);
+        let home = &node.settings.daemon.data_centre;
+        state.follow(now, home, table, service);
         let Class {
             shape,
             cost,
             expected,
         } = state.classes.classify(now, shape);
-        let target = state.choose(now, cost, tried)?;
+        let bytes = state.sizes.get(&shape).copied().unwrap_or(0.0);
+        let far = node.settings.placing.far_per_kb.mul_f64(bytes / 1024.0);
+        let target = state.choose(now, far, tried)?;
         let session = state.targets[target.0 as usize].session;
         let expected = expected.map(|e| e.mean);
         let sent = Some(state.balancer.start_for(now, target, cost, expected));
-        let clock = Arc::clone(clock);
+        let clock = Arc::clone(&node.clock);
         Some(Choice {
             session,
             balance: self.clone(),
@@ -228,17 +257,21 @@
     target.is_some_and(|t| t.service == service && t.state == TargetState::Ready)
 }
 
-fn budget(now: Duration, rules: Rules) -> Budget {
-    Budget::new(
-        now,
-        BudgetSettings {
-            share: rules.retry_budget,
-            ..Default::default()
-        },
-    )
+fn budget(now: Duration, rules: &Rules) -> Budget {
+    Budget::new(now, budget_settings(rules))
+}
+
+fn budget_settings(rules: &Rules) -> BudgetSettings {
+    let settings = BudgetSettings::default();
+    let reserve_rate = rules.reserve * RESERVE_PART / rules.window.as_secs_f64();
+    BudgetSettings {
+        share: rules.retry_budget,
+        window: rules.window,
+        reserve_rate: reserve_rate.max(settings.reserve_rate),
+    }
 }
 
-fn ejector(rules: Rules, targets: usize) -> Ejector {
+fn ejector(rules: &Rules, targets: usize) -> Ejector {
     let settings = eject::Settings {
         max_ejected: rules.max_ejected,
         ..Default::default()
@@ -266,8 +299,18 @@
         };
         let mut state = self.balance.lock();
         let slots = state.targets[target.0 as usize].slots.max(1);
-        let load = f64::from(load.running + load.queued) / f64::from(slots);
-        state.balancer.report(now, target, load);
+        let count = u32::from(load.running) + u32::from(load.queued);
+        state
+            .balancer
+            .report(now, target, f64::from(count) / f64::from(slots));
+        if load != LoadHint::default() {
+            let count = Count {
+                load: count,
+                service: Duration::from_micros(load.service_us.into()),
+                at: now,
+            };
+            state.balancer.count(target, count);
+        }
         if outcome == Outcome::TargetFault {
             state.balancer.fault(now, target);
         }
@@ -276,6 +319,17 @@
         }
     }
 
+    /// Notes the size of the answer in bytes, when its head tells.
+    pub fn note_size(&self, bytes: Option<u64>) {
+        let Some(bytes) = bytes else { return };
+        let mut state = self.balance.lock();
+        if state.sizes.len() >= MAX_SIZES && !state.sizes.contains_key(&self.shape) {
+            state.sizes.clear();
+        }
+        let mean = state.sizes.entry(self.shape).or_insert(bytes as f64);
+        *mean += SIZE_WEIGHT * (bytes as f64 - *mean);
+    }
+
     /// Marks the request as answered in full.
     pub fn complete(&mut self) {
         self.answered = true;
--- a/crates/daemon/src/ingress/head.rs
+++ b/crates/daemon/src/ingress/head.rs
@@ -30,6 +30,8 @@
     pub attempts: Option<u32>,
     /// When the caller needs the head of the answer.
     pub deadline: Deadline,
+    /// When the answer should be there at the latest, as time since boot.
+    pub due: Option<Duration>,
     /// Head for the owner; service id, shard, deadline and versions are set for each attempt.
     pub forward: Forward,
 }
@@ -61,6 +63,9 @@
         let by_method = || service.is_idempotent(parts.method.as_str(), idempotent);
         let idempotent = route.map_or_else(by_method, |r| r.idempotent);
         let attempts = route.map(|r| r.attempts);
+        let due = route
+            .filter(|r| !r.objective.is_zero())
+            .map(|r| now + r.objective);
         let forward = Forward {
             service: ServiceId(0),
             shard: None,
@@ -73,6 +78,7 @@
                 .to_owned(),
             headers: passed_on(node, parts),
             deadline_ms: 0,
+            objective_ms: None,
             idempotent,
             request_id: request_id.to_owned(),
             traceparent: String::new(),
@@ -84,6 +90,7 @@
             service,
             attempts,
             deadline,
+            due,
             forward,
         })
     }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -22,6 +22,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use masticdeal_policy::redirect;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::Reason;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -76,6 +77,8 @@
     peers: Arc<Peers>,
     owner: Arc<Owner>,
     services: Services,
+    /// Bounds of requests that nobody runs.
+    redirects: redirect::Settings,
     stalls: Arc<Stalls>,
     /// Bounds the requests in progress.
     requests: Arc<Semaphore>,
@@ -91,6 +94,10 @@
         requests: Arc::new(Semaphore::new(limits.requests)),
         waiting: Semaphore::new(limits.queue_length),
         services: Services::default(),
+        redirects: redirect::Settings {
+            takeover_time: node.settings.lease.length * 2,
+            ..Default::default()
+        },
         stalls: Stalls::start(Arc::clone(&node.clock)),
         node: Arc::clone(&node),
         peers,
--- a/crates/daemon/src/ingress/route.rs
+++ b/crates/daemon/src/ingress/route.rs
@@ -56,7 +56,7 @@
         }
         None => {
             let choice = balance.choose(
-                &node.clock,
+                node,
                 &table,
                 service,
                 shape_of(&head.forward, head.service()),
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -108,7 +108,11 @@
         // The deadline bounds the head of the answer, and the queue reckons with whole service
         // times. A download may go on after the deadline.
         let tail = Duration::from_secs_f64(inner.tails_s[class.cost as usize]);
-        let ticket = Ticket::new(class, deadline + tail);
+        let objective = head.objective_ms.map(u64::from).map(Duration::from_millis);
+        let ticket = Ticket {
+            due: objective.map(|left| now + left),
+            ..Ticket::new(class, deadline + tail)
+        };
         let (reply, rx) = oneshot::channel();
         let waiting = Waiting {
             reply,
@@ -128,7 +132,14 @@
     }
 
     /// Takes over the target's slots and the rules of its service.
-    pub fn open(self: &Arc<Self>, slots: usize, cold: bool, service: Option<&Service>) {
+    /// With `due_first`, requests start in the order of their objectives.
+    pub fn open(
+        self: &Arc<Self>,
+        slots: usize,
+        cold: bool,
+        service: Option<&Service>,
+        due_first: bool,
+    ) {
         let now = self.node.clock.now();
         {
             let mut inner = self.lock();
@@ -143,10 +154,19 @@
                     .queue_length
                     .min(self.node.settings.limits.queue_length);
                 let long_share = Some(service.long_share);
-                let settings = queue::Settings {
-                    long_share,
-                    length,
-                    ..Default::default()
+                let settings = if due_first {
+                    queue::Settings {
+                        long_share: None,
+                        order: queue::Order::DueFirst,
+                        length,
+                        ..Default::default()
+                    }
+                } else {
+                    queue::Settings {
+                        long_share,
+                        length,
+                        ..Default::default()
+                    }
                 };
                 inner.queue.configure(now, settings);
             }
@@ -317,9 +337,10 @@
         self.end = End::Whole;
     }
 
-    /// Ends a request that the target refused because of load.
-    pub fn shed(mut self) {
-        self.end = End::Shed;
+    /// Ends a request that the target refused. `full` tells whether it had no room; a refusal
+    /// without that is a fault and says nothing about how much the target can run.
+    pub fn shed(mut self, full: bool) {
+        self.end = if full { End::Shed } else { End::Cut };
     }
 
     fn elapsed(&self) -> Duration {
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -100,6 +100,12 @@
         self.admission.load()
     }
 
+    /// Returns the slots that the target announced; 0 without a target.
+    fn slots(&self) -> usize {
+        let target = self.node.target.borrow();
+        target.as_ref().map_or(0, |t| usize::from(t.slots))
+    }
+
     /// Returns the measured capacity in requests per second: slots over smoothed service time. 0
     /// while nothing is measured.
     pub fn service_rate(&self) -> f64 {
@@ -134,7 +140,9 @@
         match announced {
             _ if closing => admission.close(START_LIMIT),
             Some(t) if t.state == AnnouncedState::Ready => {
-                admission.open(usize::from(t.slots), starting, rules.service(&t.service));
+                let due_first = rules.routes.iter().any(|r| !r.objective.is_zero());
+                let (slots, service) = (usize::from(t.slots), rules.service(&t.service));
+                admission.open(slots, starting, service, due_first);
             }
             Some(t) if t.state == AnnouncedState::Draining => admission.close(START_LIMIT),
             _ => admission.close(Duration::ZERO),
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -31,6 +31,13 @@
 /// choose their deadlines, and a short one says nothing about the target.
 const SILENT_AFTER: Duration = Duration::from_millis(250);
 
+/// Longest wait for a grant to reach the target. A target reports about once a second.
+const GRANT_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Longest time between two looks at what the target holds; a grant counts a little after it was
+/// sent.
+const GRANT_LOOK: Duration = Duration::from_millis(50);
+
 /// Silent requests in a row after which the target is treated as away.
 const SILENT_LIMIT: u32 = 3;
 
@@ -61,6 +68,12 @@
 }
 
 impl Right {
+    /// Returns whether this daemon may serve the key, whatever its target holds.
+    fn is_owner(&self) -> bool {
+        let may_serve = |(shard, hash)| (self.node.may_serve)(self.service, shard, hash).is_ok();
+        self.key.is_some_and(may_serve)
+    }
+
     fn epoch(&self) -> Result<Option<Epoch>, Failure> {
         let Some((shard, key_hash)) = self.key else {
             return Ok(None);
@@ -124,6 +137,25 @@
         known.is_some_and(|s| s.overrides.iter().any(|o| o.key_hash == key_hash))
     }
 
+    /// Waits while the shard is this daemon's and the target is not yet granted it: the grant is on
+    /// its way with the answer to the target's next report.
+    async fn await_grant(&self, right: &Right, deadline: Duration) -> Result<(), Failure> {
+        let until = deadline.min(self.node.clock.now() + GRANT_WAIT);
+        loop {
+            let changed = self.node.holdings.changed();
+            tokio::pin!(changed);
+            let refused = match right.epoch() {
+                Ok(_) => return Ok(()),
+                Err(failure) => failure,
+            };
+            let left = until.saturating_sub(self.node.clock.now());
+            if left.is_zero() || !right.is_owner() {
+                return Err(refused);
+            }
+            let _ = timeout(left.min(GRANT_LOOK), changed).await;
+        }
+    }
+
     async fn admit(
         &self,
         head: &Forward,
@@ -136,7 +168,7 @@
         if self.node.clock.now() >= deadline {
             return Err(Failure::not_run(Reason::Deadline));
         }
-        right.epoch()?;
+        self.await_grant(right, deadline).await?;
         self.target_for(head.service)?;
         let rules = self.node.rules_of(head.service);
         let service = rules.as_ref().and_then(|(rules, name)| rules.service(name));
@@ -273,7 +305,11 @@
         let dialect = &self.owner.node.dialect;
         if let Some(failure) = (dialect.target.refusal)(response.status(), response.headers()) {
             if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-                running.slot.shed();
+                let load = failure.load;
+                let busy = usize::from(load.running) + usize::from(load.queued);
+                // A target that does not tell its load is taken to be full.
+                let full = busy == 0 || busy >= self.owner.slots();
+                running.slot.shed(full);
             }
             return Err(failure);
         }
--- a/crates/policy/examples/measure/cost.rs
+++ b/crates/policy/examples/measure/cost.rs
@@ -73,6 +73,7 @@
             shape: None,
             expected: Some(Expected { mean, most: mean }),
             deadline,
+            due: None,
         };
         let _ = queue.push(Duration::ZERO, ticket, item);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod outcome;
 pub mod queue;
+pub mod redirect;
 pub mod retry;
 pub mod shape;
 pub mod verdict;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -126,7 +126,8 @@
             expected: expected.mean,
             arrived: now,
             ages_at: self.ages_at(now, latest.unwrap_or(now)),
-            start_by: self.start_by(now, ticket.deadline, latest),
+            start_by: self.start_by(now, &ticket, latest),
+            due: self.start_due(&ticket, expected.mean),
             item,
         });
         self.check();
@@ -250,16 +251,11 @@
         self.check();
     }
 
-    /// Takes over changed settings. The order stays as it was made, and requests that wait beyond
-    /// a lower length keep their places.
+    /// Takes over changed settings. Requests that wait beyond a lower length keep their places.
     pub fn configure(&mut self, now: Duration, settings: Settings) {
-        let order = self.settings.order;
         let length = settings.length.max(self.lanes.len());
-        self.settings = Settings {
-            order,
-            length,
-            ..settings
-        };
+        self.lanes.set_order(settings.order);
+        self.settings = Settings { length, ..settings };
         self.update_allowed(now);
         self.check();
     }
@@ -331,9 +327,23 @@
 
     /// Returns the last instant at which a request may start. A request that was admitted as a
     /// trial, against its expected time, may start until its deadline.
-    fn start_by(&self, now: Duration, deadline: Duration, latest: Option<Duration>) -> Duration {
+    fn start_by(&self, now: Duration, ticket: &Ticket, latest: Option<Duration>) -> Duration {
         let in_time = latest.filter(|latest| self.settings.refuse_late && *latest >= now);
-        in_time.unwrap_or(deadline)
+        let start_by = in_time.unwrap_or(ticket.deadline);
+        let Some(due) = ticket
+            .due
+            .filter(|_| self.settings.order == Order::DueFirst)
+        else {
+            return start_by;
+        };
+        let late = due.saturating_sub(now).mul_f64(self.settings.late_share);
+        start_by.min(due + late)
+    }
+
+    /// Returns the last instant at which a start meets the objective.
+    fn start_due(&self, ticket: &Ticket, expected: Duration) -> Duration {
+        let due = ticket.due.unwrap_or(ticket.deadline);
+        due.saturating_sub(expected)
     }
 
     fn ages_at(&self, now: Duration, latest: Duration) -> Duration {
@@ -352,7 +362,10 @@
         } else {
             Reason::DeadlinePassed
         };
-        let retry_after = RETRY_AFTER.0;
+        let retry_after = match self.settings.order {
+            Order::DueFirst => self.backlog(now).clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+            _ => RETRY_AFTER.0,
+        };
         for entry in self.lanes.take_late(now, drained) {
             let refusal = Refusal {
                 reason,
--- a/crates/policy/src/queue/estimate.rs
+++ b/crates/policy/src/queue/estimate.rs
@@ -30,6 +30,9 @@
         if !self.settings.refuse_late || self.is_trial(ticket.cost) {
             return Ok(());
         }
+        if self.settings.order == Order::DueFirst {
+            return self.admit_due(now, ticket, expected);
+        }
         let left = ticket.deadline - now;
         let fits = left.saturating_sub(expected.most);
         let longest = fits.min(left.mul_f64(self.settings.max_wait));
@@ -40,11 +43,32 @@
         Ok(())
     }
 
+    /// Admits what meets its objective. While a slot is free anything may start that meets its
+    /// deadline, since nothing in time is held up by it.
+    fn admit_due(&self, now: Duration, ticket: &Ticket, expected: Expected) -> Result<(), Refusal> {
+        let due = self.start_due(ticket, expected.mean);
+        let slots = self.limit.slots(now);
+        let ahead = self.lanes.work_before(now, due);
+        let wait = Duration::from_secs_f64(pour(self.frees_at(now, slots, |_| true), ahead));
+        let in_time = now + wait <= due;
+        if in_time || (wait.is_zero() && now + expected.mean <= ticket.deadline) {
+            return Ok(());
+        }
+        Err(refusal(Reason::TooLate, self.backlog(now)))
+    }
+
+    /// Returns the time in which all that waits and runs is done.
+    pub(super) fn backlog(&self, now: Duration) -> Duration {
+        let slots = self.limit.slots(now);
+        let frees = self.frees_at(now, slots, |_| true);
+        Duration::from_secs_f64(pour(frees, self.all_work()))
+    }
+
     /// Returns the estimated wait of a request of this class that arrives now.
     pub fn estimated_wait(&self, now: Duration, cost: Cost) -> Duration {
         let slots = self.limit.slots(now);
         let one_line =
-            self.settings.order == Order::FirstCome && self.settings.long_share.is_none();
+            self.settings.order != Order::ShortFirst && self.settings.long_share.is_none();
         let (open, ahead) = match cost {
             _ if one_line => (self.frees_at(now, slots, |_| true), self.all_work()),
             Cost::Short => self.open_to_short(now, slots),
--- a/crates/policy/src/queue/lanes.rs
+++ b/crates/policy/src/queue/lanes.rs
@@ -18,6 +18,8 @@
     pub(super) ages_at: Duration,
     /// Last instant at which a start still meets the deadline.
     pub(super) start_by: Duration,
+    /// Last instant at which a start still meets the objective.
+    pub(super) due: Duration,
     pub(super) item: T,
 }
 
@@ -47,13 +49,26 @@
         self.lane(entry.cost).push_back(entry);
     }
 
+    /// Takes over another order; what waits keeps its place until the next start.
+    pub(super) fn set_order(&mut self, order: Order) {
+        self.order = order;
+    }
+
     /// Takes the entry that starts next. Long work starts only if `long_fits`.
     pub(super) fn pop(&mut self, now: Duration, long_fits: bool) -> Option<Entry<T>> {
+        if self.order == Order::DueFirst {
+            let next = self.iter().min_by_key(|e| (e.due < now, e.due))?.id;
+            let entry = self.remove(next);
+            if self.is_empty() {
+                self.earliest = None;
+            }
+            return entry;
+        }
         let long = self.long.front().filter(|_| long_fits);
         let long_first = match (self.short.front(), long) {
             (Some(short), Some(long)) => match self.order {
                 Order::ShortFirst => long.ages_at <= now,
-                Order::FirstCome => long.id < short.id,
+                Order::FirstCome | Order::DueFirst => long.id < short.id,
             },
             (None, Some(_)) => true,
             (_, None) => false,
@@ -140,6 +155,13 @@
         lane.iter().map(|entry| entry.expected.as_secs_f64()).sum()
     }
 
+    /// Returns the summed expected time of what goes before an entry that is due at `due`, in
+    /// seconds.
+    pub(super) fn work_before(&self, now: Duration, due: Duration) -> f64 {
+        let before = self.iter().filter(|e| now <= e.due && e.due <= due);
+        before.map(|entry| entry.expected.as_secs_f64()).sum()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.short.len() + self.long.len()
     }
--- a/crates/policy/src/queue/types.rs
+++ b/crates/policy/src/queue/types.rs
@@ -31,6 +31,9 @@
     /// Whether requests that cannot meet their deadline are refused before it has passed. Without
     /// it, they are refused once it has (baseline).
     pub refuse_late: bool,
+    /// Part of the time to its objective for which a request that missed it may still wait, while
+    /// others are in time. A late answer is worth something, a long wait for a refusal is not.
+    pub late_share: f64,
 }
 
 impl Default for Settings {
@@ -43,6 +46,7 @@
             order: Order::ShortFirst,
             max_wait: 0.7,
             refuse_late: true,
+            late_share: 0.3,
         }
     }
 }
@@ -67,6 +71,10 @@
     ShortFirst,
     /// In order of arrival (baseline).
     FirstCome,
+    /// The earliest objective first, and what has missed its objective last. It answers a crest at
+    /// which targets wait for calls to one another: a call has little time and goes before new work,
+    /// and new work that cannot be in time is refused before it takes a place.
+    DueFirst,
 }
 
 /// Names an admitted request of one queue.
@@ -84,6 +92,8 @@
     pub expected: Option<Expected>,
     /// Instant by which the answer is needed, as time since boot.
     pub deadline: Duration,
+    /// Instant by which an answer is worth most; `None` when there is no such objective.
+    pub due: Option<Duration>,
 }
 
 impl Ticket {
@@ -94,6 +104,7 @@
             shape: Some(class.shape),
             expected: class.expected,
             deadline,
+            due: None,
         }
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Takes over changed settings and keeps the tokens.
+    pub fn set(&mut self, settings: BudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self, now: Duration) {
         self.advance(now);
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -22,6 +22,7 @@
         shape: None,
         expected: Some(Expected { mean, most: mean }),
         deadline,
+        due: None,
     }
 }
 
--- a/crates/policy/tests/queue_states.rs
+++ b/crates/policy/tests/queue_states.rs
@@ -73,6 +73,7 @@
             order,
             max_wait,
             refuse_late,
+            ..Settings::default()
         },
     )
 }
@@ -269,8 +270,7 @@
             cost,
             shape: None,
             expected: Some(Expected { mean, most: mean }),
-            deadline: now + Duration::from_secs(10),
-        };
+            deadline: now + Duration::from_secs(10), due: None };
         let mut now = ms(0);
         let mut running = Vec::new();
         queue.push(now, ticket(Cost::Long, now), Cost::Long).unwrap();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -194,6 +194,9 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Remaining time in milliseconds when the message was written.
     pub deadline_ms: u32,
+    /// Time to the objective in milliseconds when the message was written; 0 once it is missed,
+    /// `None` when there is no objective.
+    pub objective_ms: Option<u32>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Identifier of the request.
