Write decisions on requests to standard output through a bounded queue, and plan by measured capacity

Cause: a refused request left no trace of what refused it; logs went to standard error and could hold up the daemon. The planner weighed targets by slots although their speeds differ by 2.4, and ran each 5 s. Change: telemetry/output.rs takes lines without waiting, bounds them per second and tells what it dropped; ingress and owner log each failed request with id, reason, load, estimates, versions. Rounds each 1.5 s within the census bound of 14 reports a second; capacities from the census; a shard that moved counts once; released shards share a swap.

--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -17,7 +17,7 @@
 use super::census::Heard;
 
 /// Least time between two rounds.
-const ROUND: Duration = Duration::from_secs(5);
+const ROUND: Duration = Duration::from_millis(1_500);
 
 /// Requests per second that every shard counts as having, so that shards without load are spread
 /// evenly as well and a returning target gets its share before the load comes.
@@ -138,13 +138,22 @@
         };
         add(load, &heard.report);
     }
-    Loads { services }
+    let capacities = census.iter().map(|(id, heard)| {
+        let capacity = f64::from(heard.report.capacity);
+        (*id, capacity)
+    });
+    Loads {
+        services,
+        capacities: capacities.collect(),
+    }
 }
 
 fn add(load: &mut ServiceLoad, report: &LoadReport) {
     for (shard, rate) in &report.shards {
-        if let Some(sum) = load.shards.get_mut(shard.index()) {
-            *sum += f64::from(*rate);
+        // A shard that moved lately is in the reports of both owners, and neither of them has
+        // counted a whole window.
+        if let Some(known) = load.shards.get_mut(shard.index()) {
+            *known = known.max(f64::from(*rate));
         }
     }
     let keys = report
--- a/crates/daemon/src/ingress/reply.rs
+++ b/crates/daemon/src/ingress/reply.rs
@@ -22,6 +22,7 @@
 use crate::exchange::{Body, BodyError, Failure, full, to_header_map};
 use crate::node::Node;
 use crate::telemetry::metrics::{ByReason, Finished};
+use crate::telemetry::output::DECISION;
 
 /// Advice to come back when nothing better is known.
 const RETRY_DEFAULT: Duration = Duration::from_millis(300);
@@ -174,6 +175,22 @@
 /// Renders the failure of a request that is not counted as in progress.
 pub fn unadmitted(node: &Node, failure: Failure, request_id: &str) -> Response<Body> {
     let (verdict, reason) = (failure.verdict, failure.reason.as_str());
+    let versions = node.versions();
+    let retry_after_ms = failure.retry_after.map(|d| d.as_millis() as u64);
+    log::info!(
+        target: DECISION,
+        id = request_id,
+        hop = "ingress",
+        reason,
+        verdict:%,
+        status = (node.dialect.caller.status)(&failure).as_u16(),
+        retry_after_ms:?,
+        table = versions.table,
+        config = versions.config,
+        running = failure.load.running,
+        queued = failure.load.queued;
+        "request failed"
+    );
     node.metrics
         .failures
         .get_or_create(&ByReason { reason })
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -21,6 +21,15 @@
 /// Time beyond the deadline for the queue's own refusal, which is more precise than a timeout.
 const REFUSAL_GRACE: Duration = Duration::from_millis(5);
 
+/// What a request would meet in the queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Estimate {
+    /// Requests that may run at once.
+    pub slots: usize,
+    /// Estimated wait.
+    pub wait: Duration,
+}
+
 /// What the queue keeps for a waiting request.
 struct Waiting {
     reply: oneshot::Sender<Result<Slot, Failure>>,
@@ -192,6 +201,17 @@
         }
     }
 
+    /// Returns what a request with this objective would meet now.
+    pub fn estimate(&self, objective_ms: Option<u32>) -> Estimate {
+        let now = self.node.clock.now();
+        let inner = self.lock();
+        let due = objective_ms.map(|ms| now + Duration::from_millis(ms.into()));
+        Estimate {
+            slots: inner.queue.slots(now),
+            wait: inner.queue.wait_before(now, due),
+        }
+    }
+
     /// Returns the measured capacity in requests per second; 0 while nothing is measured.
     pub fn service_rate(&self) -> f64 {
         let inner = self.lock();
--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -29,6 +29,7 @@
 use crate::node::Node;
 use crate::peers::server::Forwarded;
 use crate::telemetry::metrics::ByReason;
+use crate::telemetry::output::DECISION;
 use admission::Admission;
 use grant::Grants;
 use run::Health;
@@ -63,6 +64,9 @@
     /// Runs a request at the target beside this daemon. Dropping the future, or the body of the
     /// answer, cancels the request.
     pub async fn handle(&self, request: Request) -> Outcome {
+        let id = request.head.request_id.clone();
+        let objective_ms = request.head.objective_ms;
+        let left = request.deadline.saturating_sub(self.node.clock.now());
         match self.run(request).await {
             Ok(answer) => Outcome::Answer(answer),
             Err(failure) => {
@@ -71,6 +75,24 @@
                 };
                 self.node.metrics.refusals.get_or_create(&reason).inc();
                 let (versions, load) = (self.node.versions(), self.load());
+                let estimate = self.admission.estimate(objective_ms);
+                log::info!(
+                    target: DECISION,
+                    id = id.as_str(),
+                    hop = "owner",
+                    reason = failure.reason.as_str(),
+                    verdict:% = failure.verdict,
+                    running = load.running,
+                    queued = load.queued,
+                    service_ms = load.service_us / 1_000,
+                    slots = estimate.slots,
+                    wait_ms = estimate.wait.as_millis() as u64,
+                    objective_ms:?,
+                    deadline_ms = left.as_millis() as u64,
+                    table = versions.table,
+                    target:? = self.node.target.borrow().as_ref().map(|t| &t.instance);
+                    "request not served by the target"
+                );
                 Outcome::Failed(Failure {
                     versions,
                     load,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -52,7 +52,7 @@
 ///
 /// Any [`Error`], before a request was taken.
 pub fn run(settings: Settings, dialect: Dialect) -> Result<()> {
-    logs::init(&settings.log).map_err(Error::Logs)?;
+    let output = logs::init(&settings.log).map_err(Error::Logs)?;
     let runtime = if settings.daemon.threads == 1 {
         tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -62,9 +62,11 @@
             .enable_all()
             .build()
     };
-    runtime
+    let ended = runtime
         .map_err(Error::Runtime)?
-        .block_on(serve(settings, dialect))
+        .block_on(serve(settings, dialect));
+    output.flush();
+    ended
 }
 
 /// The listening sockets of the daemon.
--- a/crates/daemon/src/telemetry/logs.rs
+++ b/crates/daemon/src/telemetry/logs.rs
@@ -1,6 +1,7 @@
 //! Log output: one JSON object per line.
 
 use std::fmt::Arguments;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use displaydoc::Display;
@@ -8,6 +9,8 @@
 use masticdeal_config::settings::Log;
 use serde_json::{Map, Value};
 
+use super::output::Output;
+
 /// Why logging cannot start.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum Error {
@@ -22,16 +25,21 @@
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Starts logging to standard error.
+/// Starts logging to standard output, and returns the way there.
 ///
 /// # Errors
 ///
 /// [`Error::Level`] for a level that `log` does not know; [`Error::AlreadySet`] on a second call.
-pub fn init(settings: &Log) -> Result<()> {
+pub fn init(settings: &Log) -> Result<Arc<Output>> {
+    let output = Arc::new(Output::start(std::io::stdout()));
+    let lines = Arc::clone(&output);
     dispatch(settings)?
-        .chain(std::io::stderr())
+        .chain(fern::Output::call(move |record| {
+            lines.line(record.target(), record.args().to_string());
+        }))
         .apply()
-        .map_err(|_| Error::AlreadySet)
+        .map_err(|_| Error::AlreadySet)?;
+    Ok(output)
 }
 
 /// Returns the logger without an output, for [`init`] and for tests.
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and traces of the daemon.
 //!
-//! - [`logs`]: JSON lines on standard error, with levels per module.
+//! - [`logs`]: JSON lines on standard output, with levels per module.
+//! - [`output`]: the bounded way of the lines to their writer.
 //! - [`metrics`]: counters and histograms with bounded label sets.
 //! - [`traces`]: one span per hop, carried by `traceparent`.
 //!
@@ -9,6 +10,7 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod output;
 pub mod traces;
 
 pub use metrics::Metrics;
--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -20,7 +20,7 @@
 /// sessions, so that a lost data centre does not make all survivors write at once.
 const SWAP_TIME: Duration = Duration::from_millis(5);
 
-/// Time that released shards of a leaving target wait for each other, to share a swap.
+/// Time that released shards wait for each other, to share a swap.
 const GROUP: Duration = Duration::from_millis(10);
 
 /// Time that a new service waits for its targets to announce themselves before its shards get
@@ -240,7 +240,7 @@
                 by: MoveBy::Planner,
                 ..
             } => at + self.settings.take_back,
-            Purpose::Leave | Purpose::NewLife => at + GROUP,
+            Purpose::Leave | Purpose::NewLife | Purpose::Move { .. } => at + GROUP,
             _ => at,
         })
     }
--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -17,6 +17,9 @@
 pub struct Loads {
     /// One entry per service of the table; missing ones count as idle.
     pub services: Vec<ServiceLoad>,
+    /// Measured capacity of each target by its session, in requests per second. A service whose
+    /// targets are not all measured is planned by the table's weights.
+    pub capacities: BTreeMap<SessionId, f64>,
 }
 
 /// Measured load of one service.
@@ -108,7 +111,8 @@
     for (at, service) in table.services.iter().enumerate() {
         let load = loads.services.get(at).unwrap_or(&idle);
         let id = ServiceId(at as u16);
-        plan_service(table, id, service, load, settings, &mut moves);
+        let targets = weighted(table, id, &loads.capacities);
+        plan_service(&targets, id, service, load, settings, &mut moves);
     }
     moves.sort_by(|a, b| b.gain.total_cmp(&a.gain));
     moves.truncate(settings.moves_per_round);
@@ -120,19 +124,38 @@
     let Some(known) = table.service(service) else {
         return 0.0;
     };
-    let nodes = nodes(table, service, known, load);
+    let targets = weighted(table, service, &BTreeMap::new());
+    let nodes = nodes(&targets, known, load);
     nodes.iter().map(|n| n.level() - 1.0).fold(0.0, f64::max)
 }
 
-fn plan_service(
+/// Returns the ready targets of a service with their weights.
+fn weighted(
     table: &Table,
+    service: ServiceId,
+    capacities: &BTreeMap<SessionId, f64>,
+) -> Vec<(SessionId, f64)> {
+    let ready = spread::ready(table, service);
+    let measured = |id: &SessionId| capacities.get(id).copied().filter(|c| *c > 0.0);
+    let all: Option<Vec<_>> = ready
+        .iter()
+        .map(|(id, _)| Some((*id, measured(id)?)))
+        .collect();
+    all.unwrap_or_else(|| {
+        let weights = ready.iter().map(|(id, w)| (*id, f64::from(*w)));
+        weights.collect()
+    })
+}
+
+fn plan_service(
+    targets: &[(SessionId, f64)],
     id: ServiceId,
     service: &Service,
     load: &ServiceLoad,
     settings: &PlanSettings,
     moves: &mut Vec<Move>,
 ) {
-    let mut nodes = nodes(table, id, service, load);
+    let mut nodes = nodes(targets, service, load);
     if nodes.len() < 2 || service.shards.is_empty() || !starts(&nodes, settings) {
         return;
     }
@@ -158,9 +181,8 @@
 }
 
 /// Builds the nodes of a service with rates as shares of its whole load.
-fn nodes(table: &Table, id: ServiceId, service: &Service, load: &ServiceLoad) -> Vec<Node> {
-    let ready = spread::ready(table, id);
-    let capacity: f64 = ready.iter().map(|(_, w)| f64::from(*w)).sum();
+fn nodes(ready: &[(SessionId, f64)], service: &Service, load: &ServiceLoad) -> Vec<Node> {
+    let capacity: f64 = ready.iter().map(|(_, w)| *w).sum();
     let total = total_rate(service, load);
     let share = |rate: f64| if total > 0.0 { rate / total } else { 0.0 };
     // Without measurements every shard counts alike.
@@ -171,11 +193,11 @@
     };
     let mut index = BTreeMap::new();
     let mut nodes = Vec::new();
-    for (session, weight) in ready {
+    for &(session, weight) in ready {
         index.insert(session, nodes.len());
         nodes.push(Node {
             session,
-            weight: f64::from(weight) / capacity,
+            weight: weight / capacity,
             rate: 0.0,
             shards: Vec::new(),
         });
--- a/crates/ownership/tests/planner.rs
+++ b/crates/ownership/tests/planner.rs
@@ -60,6 +60,7 @@
     let shards = shards.to_vec();
     Loads {
         services: vec![ServiceLoad { shards, hot }],
+        ..Loads::default()
     }
 }
 
--- a/crates/policy/src/queue/estimate.rs
+++ b/crates/policy/src/queue/estimate.rs
@@ -47,9 +47,7 @@
     /// deadline, since nothing in time is held up by it.
     fn admit_due(&self, now: Duration, ticket: &Ticket, expected: Expected) -> Result<(), Refusal> {
         let due = self.start_due(ticket, expected.mean);
-        let slots = self.limit.slots(now);
-        let ahead = self.lanes.work_before(now, due);
-        let wait = Duration::from_secs_f64(pour(self.frees_at(now, slots, |_| true), ahead));
+        let wait = self.wait_before(now, Some(due));
         let in_time = now + wait <= due;
         if in_time || (wait.is_zero() && now + expected.mean <= ticket.deadline) {
             return Ok(());
@@ -57,6 +55,14 @@
         Err(refusal(Reason::TooLate, self.backlog(now)))
     }
 
+    /// Returns the estimated wait of a request that has to start by `due`, with requests in the order
+    /// of their objectives; behind all others without one.
+    pub fn wait_before(&self, now: Duration, due: Option<Duration>) -> Duration {
+        let slots = self.limit.slots(now);
+        let ahead = self.lanes.work_before(now, due.unwrap_or(Duration::MAX));
+        Duration::from_secs_f64(pour(self.frees_at(now, slots, |_| true), ahead))
+    }
+
     /// Returns the time in which all that waits and runs is done.
     pub(super) fn backlog(&self, now: Duration) -> Duration {
         let slots = self.limit.slots(now);
