--- a/crates/ownership/examples/balance.rs
+++ b/crates/ownership/examples/balance.rs
@@ -184,10 +184,17 @@
             hot: sketch.hottest(now, 2 * HOT),
         };
         let services = vec![load];
-        let changes: Vec<_> = planner::plan(&table, &Loads { services }, settings)
-            .iter()
-            .map(|m| change(&table, m))
-            .collect();
+        let changes: Vec<_> = planner::plan(
+            &table,
+            &Loads {
+                services,
+                ..Loads::default()
+            },
+            settings,
+        )
+        .iter()
+        .map(|m| change(&table, m))
+        .collect();
         if changes.is_empty() {
             continue;
         }
--- a/crates/ownership/examples/slopes.rs
+++ b/crates/ownership/examples/slopes.rs
@@ -168,6 +168,7 @@
             shards: rates,
             hot: Vec::new(),
         }],
+        ..Loads::default()
     };
     let settings = PlanSettings::default();
     let plan = time(10, || {
