Test redirects, objectives, placing, routes, holdings and the restart beside a living target

Each test names the failure that it guards against; the restart test fails without the exception to R7 (it then takes the predecessor's lease).

--- a/crates/config/tests/route.rs
+++ b/crates/config/tests/route.rs
@@ -1,7 +1,7 @@
 //! Routing of requests: path prefixes, keys and idempotence.
 
 use googletest::prelude::*;
-use masticdeal_config::deployment::{Deployment, KeySource, Service};
+use masticdeal_config::deployment::{Deployment, KeySource, Part, Route, Service};
 
 fn deployment() -> Deployment {
     let text =
@@ -136,3 +136,79 @@
         );
     }
 }
+
+fn routed(routes: &[(&str, &str, &[(&str, u32)])]) -> Deployment {
+    let route = |(host, prefix, parts): &(&str, &str, &[(&str, u32)])| Route {
+        host: (*host).into(),
+        prefix: (*prefix).into(),
+        parts: parts
+            .iter()
+            .map(|(service, weight)| Part {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        ..Route::default()
+    };
+    let service = |name: &str| Service {
+        name: name.into(),
+        ..Service::default()
+    };
+    Deployment {
+        services: ["a", "b"].map(service).into(),
+        routes: routes.iter().map(route).collect(),
+        ..Deployment::default()
+    }
+}
+
+/// Guards against a route of another host, a shorter prefix, or a port in the host that hides it.
+#[gtest]
+fn routes_go_by_host_and_longest_prefix() {
+    let deployment = routed(&[
+        ("one.example", "/x/", &[("a", 1)]),
+        ("one.example", "/x/y/", &[("b", 1)]),
+        ("two.example", "/x/", &[("b", 1)]),
+    ]);
+    for (host, path, service) in [
+        ("one.example", "/x/1", Some("a")),
+        ("One.Example:8080", "/x/1", Some("a")),
+        ("one.example", "/x/y/1", Some("b")),
+        ("two.example", "/x/y/1", Some("b")),
+        ("one.example", "/x", None),
+        ("three.example", "/x/1", None),
+    ] {
+        let found = deployment.resolve(host, path, 0.0);
+        expect_that!(
+            found.map(|m| m.service.name.as_str()),
+            eq(service),
+            "{host}{path}"
+        );
+    }
+}
+
+/// Guards against a split that leaves its weights, or sends requests to a part of weight 0.
+#[gtest]
+fn split_follows_the_weights() {
+    let parts: &[(&str, u32)] = &[("a", 90), ("b", 10)];
+    let deployment = routed(&[("h", "/", parts), ("h", "/none/", &[("a", 0), ("b", 3)])]);
+    let share = |path: &str, service: &str| {
+        let draws = (0..1_000).map(|at| f64::from(at) / 1_000.0);
+        let found = draws.filter(|draw| {
+            let matched = deployment.resolve("h", path, *draw).unwrap();
+            matched.service.name == service
+        });
+        found.count()
+    };
+    expect_that!(share("/p/", "a"), eq(900));
+    expect_that!(share("/none/p/", "a"), eq(0));
+}
+
+/// Guards against keys that are not numbers being routed as such.
+#[gtest]
+fn number_keys_are_read_from_the_configuration() {
+    let text = "[service s]\npaths = /s\ndivided = yes\nshards = 128\nkey = number X-Key\n";
+    let deployment = Deployment::parse(text).unwrap();
+    let service = deployment.service("s").unwrap();
+    expect_that!(service.has_number_keys(), eq(true));
+    expect_that!(service.key, some(eq(&KeySource::Number("x-key".into()))));
+}
--- /dev/null
+++ b/crates/daemon/tests/holdings.rs
@@ -0,0 +1,203 @@
+//! What a target holds that takes its grants as answers to its reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_ownership::ids::{Epoch, ShardId};
+use masticdeal_wire::target::{
+    Announce, AnnouncedState, GrantedRange, HeldRange, RangeGrant, ReleasedRange, Report,
+};
+use masticdeald::holdings::{Entitled, Holdings, keys, number_hash};
+
+/// Shards of the service; each has 512 keys.
+const COUNT: u32 = 128;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn report(life: u64, holds: &[HeldRange]) -> Report {
+    Report {
+        announce: Announce {
+            service: "search".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            slots: 6,
+            checks_grants: true,
+            state: AnnouncedState::Ready,
+            load: None,
+            instance: "t".into(),
+            life,
+        },
+        sequence: 1,
+        holds: holds.to_vec(),
+        released: Vec::new(),
+    }
+}
+
+fn held(first: u16, last: u16, epoch: u32) -> HeldRange {
+    HeldRange { first, last, epoch }
+}
+
+fn grant(holdings: &Holdings, now: Duration, shards: &[(u32, u32)], until: Duration) -> RangeGrant {
+    let shards: Vec<_> = shards
+        .iter()
+        .map(|(s, e)| (ShardId(*s), Epoch(*e)))
+        .collect();
+    let entitled = Entitled {
+        shards: &shards,
+        count: COUNT,
+        until,
+        longest: ms(10_000),
+        drift_ppm: 20_000,
+    };
+    holdings.grant(now, &entitled)
+}
+
+/// Guards against a shard that is given to a second owner while the first may hold it: it is free
+/// when a report after the answer without it lacks it, or when the grant has run out.
+#[gtest]
+fn shard_is_free_when_a_report_or_the_clock_says_so() {
+    struct Case {
+        name: &'static str,
+        /// Whether the answer after the grant leaves the shard out.
+        left_out: bool,
+        /// Life and holdings of the next report, if there is one.
+        next: Option<(u64, &'static [HeldRange])>,
+        at: Duration,
+        free: bool,
+    }
+    const HELD: &[HeldRange] = &[HeldRange {
+        first: 0,
+        last: 1_023,
+        epoch: 4,
+    }];
+    let case = |name, left_out, next, at, free| Case {
+        name,
+        left_out,
+        next,
+        at,
+        free,
+    };
+    let cases = [
+        case("granted", false, None, ms(1_000), false),
+        case(
+            "granted and not yet reported",
+            false,
+            Some((1, &[][..])),
+            ms(1_000),
+            false,
+        ),
+        case("left out, no report since", true, None, ms(1_000), false),
+        case(
+            "left out, still held",
+            true,
+            Some((1, HELD)),
+            ms(1_000),
+            false,
+        ),
+        case(
+            "left out, reported gone",
+            true,
+            Some((1, &[][..])),
+            ms(1_000),
+            true,
+        ),
+        case("another life", false, Some((2, &[][..])), ms(1_000), true),
+        case("run out", false, None, ms(3_000), true),
+    ];
+    for c in cases {
+        let holdings = Holdings::default();
+        holdings.learn(ms(0), &report(1, &[]), COUNT);
+        grant(&holdings, ms(0), &[(0, 4)], ms(3_000));
+        if c.left_out {
+            holdings.learn(ms(500), &report(1, HELD), COUNT);
+            grant(&holdings, ms(500), &[], ms(3_500));
+        }
+        if let Some((life, holds)) = c.next {
+            holdings.learn(ms(600), &report(life, holds), COUNT);
+        }
+        expect_that!(holdings.is_free(c.at, ShardId(0)), eq(c.free), "{}", c.name);
+    }
+}
+
+/// Guards against a grant that outlives the lease on a slow clock of the target, and against requests
+/// that overtake the answer which grants their shard.
+#[gtest]
+fn grant_ends_before_the_lease_and_begins_after_its_answer() {
+    let holdings = Holdings::default();
+    holdings.learn(ms(0), &report(1, &[]), COUNT);
+    let given = grant(&holdings, ms(100), &[(3, 9)], ms(2_650));
+    expect_that!(given.hold.mul_f64(1.02), le(ms(2_550)));
+    expect_that!(given.hold, ge(ms(2_490)));
+    for (at, epoch, holds) in [
+        (100, 9, false),
+        (110, 9, true),
+        (110, 8, false),
+        (2_649, 9, true),
+        (2_650, 9, false),
+    ] {
+        let known = holdings.holds(ms(at), ShardId(3), Epoch(epoch));
+        expect_that!(known, eq(holds), "{at} ms, epoch {epoch}");
+    }
+}
+
+/// Guards against answers beyond 4 KiB: neighbours under one epoch are one range.
+#[gtest]
+fn neighbours_are_one_range_and_the_answer_is_bounded() {
+    let holdings = Holdings::default();
+    let alike: Vec<_> = (0..COUNT).map(|s| (s, 1)).collect();
+    let given = grant(&holdings, ms(0), &alike, ms(3_000));
+    let whole = GrantedRange {
+        first: 0,
+        last: u16::MAX,
+        epoch: 1,
+        handover: String::new(),
+    };
+    expect_that!(given.ranges, elements_are![eq(&whole)]);
+    let unlike: Vec<_> = (0..COUNT).map(|s| (s, s + 1)).collect();
+    let given = grant(&holdings, ms(0), &unlike, ms(3_000));
+    expect_that!(given.ranges.len(), eq(COUNT as usize));
+    // Rows of the longest numbers, as the platform writes them.
+    let bytes: usize = given
+        .ranges
+        .iter()
+        .map(|_| "[65024,65535,1234567,\"\"],".len())
+        .sum();
+    expect_that!(bytes, le(4_096));
+}
+
+/// Guards against a handover that is lost, or used for a later epoch of the shard.
+#[gtest]
+fn handover_goes_with_the_epoch_it_was_sent_for() {
+    let old = Holdings::default();
+    let mut leaving = report(1, &[]);
+    leaving.released = vec![ReleasedRange {
+        first: 512,
+        last: 1_535,
+        handover: "h".into(),
+    }];
+    old.learn(ms(0), &leaving, COUNT);
+    expect_that!(old.take_released(ShardId(1)), some(eq("h")));
+    expect_that!(old.take_released(ShardId(1)), none());
+    expect_that!(old.take_released(ShardId(0)), none());
+    let new = Holdings::default();
+    new.receive(ShardId(1), Epoch(7), "h".into());
+    let with = grant(&new, ms(0), &[(1, 7)], ms(3_000));
+    expect_that!(with.ranges[0].handover, eq("h"));
+    let later = grant(&new, ms(0), &[(1, 8)], ms(3_000));
+    expect_that!(later.ranges[0].handover, eq(""));
+}
+
+/// Guards against a key that is routed to another shard than the range that is granted for it.
+#[gtest]
+fn number_keys_fall_into_the_range_of_their_shard() {
+    for count in [1u32, 64, 128, 65_536] {
+        for key in [0u16, 1, 511, 512, 40_000, u16::MAX] {
+            let shard = masticdeal_ownership::ids::shard_of(number_hash(key, count), count);
+            let (first, last) = keys(shard, count);
+            expect_that!(key, all!(ge(first), le(last)), "{count} shards");
+        }
+    }
+    expect_that!(held(0, 511, 1).last, eq(keys(ShardId(0), COUNT).1));
+}
--- a/crates/ownership/tests/fake/mod.rs
+++ b/crates/ownership/tests/fake/mod.rs
@@ -46,6 +46,8 @@
     pub checks: bool,
     /// Whether the targets announce that they check grants.
     pub grants_checked: bool,
+    /// Whether the targets tell their lives apart. A target here outlives its daemon's processes.
+    pub lives: bool,
     /// Running work of a shard that is drained takes less than this many milliseconds.
     pub work: u64,
     /// Share of the drains that are given up.
@@ -62,6 +64,7 @@
             drop: 0.0,
             checks: true,
             grants_checked: true,
+            lives: false,
             work: 30,
             abandon: 0.1,
         }
--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -148,7 +148,7 @@
             checks_grants: self.setup.grants_checked,
             state: vm.target,
             capacity: 0,
-            life: 0,
+            life: u64::from(vm.address.port()) * u64::from(self.setup.lives),
         };
         let report = (!vm.silent).then_some(report);
         self.deliver(at, Event::TargetChanged(report));
--- a/crates/ownership/tests/recovery.rs
+++ b/crates/ownership/tests/recovery.rs
@@ -77,6 +77,35 @@
     }
 }
 
+/// Guards against a restart beside a living target that waits out its predecessor's lease, or moves
+/// the shards away and back.
+#[googletest::test]
+fn a_process_beside_the_same_target_serves_again_at_once() {
+    for (lives, least, most) in [(true, ms(0), ms(1_000)), (false, ms(1_500), ms(6_000))] {
+        let setup = Setup {
+            settings: CoreSettings {
+                lease: ms(3_000),
+                renew: ms(300),
+                ..CoreSettings::default()
+            },
+            places: vec![("r", "a"), ("r", "b"), ("r", "c"), ("r", "a"), ("r", "b")],
+            shards: SHARDS,
+            lives,
+            ..Setup::default()
+        };
+        let mut world = World::new(setup, 3);
+        run(&mut world, ms(14_000));
+        let owned = |world: &World| world.vms[1].core.as_ref().map(|c| c.owned().len());
+        let before = owned(&world);
+        inject(&mut world, Fault::Restart(1, 100));
+        let time = recover(&mut world);
+        expect_that!(time, all!(ge(least), le(most)), "lives {lives}");
+        if lives {
+            expect_that!(owned(&world), eq(before));
+        }
+    }
+}
+
 /// Guards against mutual lessors: their loss at once would need an operator.
 #[googletest::test]
 fn a_vm_and_its_lessor_are_recovered_within_a_second() {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -6,7 +6,7 @@
 use masticdeal_policy::Verdict;
 use masticdeal_policy::classes::{Classes, Cost, Expected, Request, Settings as ClassSettings};
 use masticdeal_policy::limit::{self, Limit};
-use masticdeal_policy::queue::{Cancelled, Permit, Queue, Reason, Settings, Ticket};
+use masticdeal_policy::queue::{Cancelled, Order, Permit, Queue, Reason, Settings, Ticket};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -340,3 +340,89 @@
         expect_that!(queue.long_limit(ms(30_000)), eq(7), "forgotten");
     }
 }
+
+fn due_ticket(mean: u64, due: u64, deadline: u64) -> Ticket {
+    Ticket {
+        due: Some(ms(due)),
+        ..ticket(Cost::Short, ms(mean), ms(deadline))
+    }
+}
+
+fn due_queue(slots: usize) -> Queue<u32> {
+    let settings = Settings {
+        long_share: None,
+        order: Order::DueFirst,
+        ..Settings::default()
+    };
+    queue(settings, slots)
+}
+
+/// Guards against calls that wait behind new work: the work that made them is then thrown away.
+#[gtest]
+fn what_is_due_first_starts_first() {
+    let mut queue = due_queue(1);
+    queue.push(ms(0), due_ticket(100, 400, 2_500), 0).unwrap();
+    let (_, running) = queue.pop(ms(0)).unwrap();
+    queue.push(ms(10), due_ticket(100, 410, 2_500), 1).unwrap();
+    queue.push(ms(20), due_ticket(20, 150, 250), 2).unwrap();
+    queue.finish(ms(100), running, Some(ms(100)));
+    let order: Vec<u32> = start_all(&mut queue, ms(100)).iter().map(|s| s.0).collect();
+    expect_that!(order, elements_are![eq(&2)]);
+}
+
+/// Guards against a crest at which everything is served late: what cannot be in time is refused at
+/// once, with the time in which there is room again, and what waits is not held up by it.
+#[gtest]
+fn crest_is_served_in_time_or_refused_at_once() {
+    // One request each 5 ms for 2 s, 25 ms each on 2 slots: the load is 2.5 times the capacity.
+    let mut queue = due_queue(2);
+    let (mut in_time, mut late, mut refused, mut held) = (0, 0, 0, Duration::ZERO);
+    let mut running: Vec<(Duration, u32, Permit)> = Vec::new();
+    for at in 0..2_000u64 {
+        let now = ms(at);
+        let (done, left): (Vec<_>, Vec<_>) = running.into_iter().partition(|r| r.0 <= now);
+        running = left;
+        for (_, arrived, permit) in done {
+            queue.finish(now, permit, Some(ms(25)));
+            if at - u64::from(arrived) <= 200 {
+                in_time += 1;
+            } else {
+                late += 1;
+            }
+        }
+        if at % 5 == 0 {
+            match queue.push(now, due_ticket(25, at + 200, at + 2_000), at as u32) {
+                Ok(_) => {}
+                Err(e) => {
+                    refused += 1;
+                    expect_that!(e.refusal.retry_after, ge(ms(50)));
+                }
+            }
+        }
+        for e in queue.expire(now) {
+            held = held.max(now - ms(e.item.into()));
+            refused += 1;
+        }
+        for (arrived, permit) in start_all(&mut queue, now) {
+            running.push((now + ms(25), arrived, permit));
+        }
+    }
+    // The capacity is 160 requests; one wave at each end is lost.
+    expect_that!(in_time, ge(150), "late {late}, refused {refused}");
+    expect_that!(late, le(5));
+    expect_that!(held, le(ms(260)));
+}
+
+/// Guards against refusing what misses its objective while the target is idle: a late answer is
+/// worth more than none.
+#[gtest]
+fn late_work_runs_while_a_slot_is_free() {
+    let mut queue = due_queue(1);
+    expect_that!(
+        queue.push(ms(0), due_ticket(300, 100, 1_000), 0).is_ok(),
+        eq(true)
+    );
+    let _running = queue.pop(ms(0)).unwrap();
+    let refused = queue.push(ms(1), due_ticket(300, 101, 1_000), 1);
+    expect_that!(refused.is_err(), eq(true));
+}
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use masticdeal_policy::Outcome;
-use masticdeal_policy::balance::{self, Balancer, HINT_WEIGHT, Policy, TargetIx};
+use masticdeal_policy::balance::{self, Balancer, Count, HINT_WEIGHT, Place, Policy, TargetIx};
 use masticdeal_policy::eject::{self, Change, Counting, Ejector, Standing};
 use masticdeal_policy::outcome::Ending;
 use proptest::prelude::*;
@@ -260,3 +260,78 @@
         eq(Standing::Probe)
     );
 }
+
+fn count(load: u32, service: u64, at: u64) -> Count {
+    Count {
+        load,
+        service: ms(service),
+        at: ms(at),
+    }
+}
+
+/// Guards against answers that cross data centres while a near target has room, and against near
+/// targets that are filled up because they are near.
+#[gtest]
+fn near_target_is_taken_until_its_wait_costs_more_than_the_trip() {
+    struct Case {
+        near_load: u32,
+        far: Duration,
+        near: bool,
+    }
+    let case = |near_load, far, near| Case {
+        near_load,
+        far,
+        near,
+    };
+    let cases = [
+        case(0, ms(0), true),
+        case(5, ms(20), true),
+        // 30 waiting requests are five waves of 40 ms.
+        case(36, ms(20), false),
+        case(36, ms(800), true),
+    ];
+    for c in cases {
+        let mut balancer = balancer(2);
+        for (ix, near) in [(0, true), (1, false)] {
+            balancer.set_place(TargetIx(ix), Place { near, slots: 6 });
+        }
+        balancer.count(TargetIx(0), count(c.near_load, 40, 1_000));
+        balancer.count(TargetIx(1), count(0, 40, 1_000));
+        let mut rng = StdRng::seed_from_u64(5);
+        let chosen = balancer.choose_placed(ms(1_000), &mut rng, c.far, |_| true);
+        let expected = TargetIx(u32::from(!c.near));
+        expect_that!(
+            chosen,
+            some(eq(expected)),
+            "load {}, far {:?}",
+            c.near_load,
+            c.far
+        );
+    }
+}
+
+/// Guards against a herd: what was sent since the owner's last count counts as well.
+#[gtest]
+fn requests_sent_since_a_count_fill_the_target() {
+    let mut balancer = balancer(2);
+    for ix in 0..2 {
+        balancer.set_place(
+            TargetIx(ix),
+            Place {
+                near: true,
+                slots: 6,
+            },
+        );
+        balancer.count(TargetIx(ix), count(0, 40, 0));
+    }
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut sent = [0; 2];
+    for _ in 0..40 {
+        let ix = balancer
+            .choose_placed(ms(1), &mut rng, ms(0), |_| true)
+            .unwrap();
+        let _outstanding = balancer.start(ms(1), ix);
+        sent[ix.0 as usize] += 1;
+    }
+    expect_that!(sent[0], all!(ge(15), le(25)), "{sent:?}");
+}
