Keep answers near by their measured size, stop without moving keys, and reload settings

Shapes went by whole paths, so nothing was learned of requests whose last segment is an identifier. A stopped daemon moved its shards away although its target lived on, and closed its port before callers knew that it was not ready. Change: whole answers are counted; requests of one route are one shape; SIGHUP and a changed file reload retries and placing, and name what waits; a daemon lingers after the signal to stop, and the next one beside the same life of the target takes its shards over.

--- a/crates/daemon/src/control/port.rs
+++ b/crates/daemon/src/control/port.rs
@@ -140,7 +140,7 @@
     /// A daemon is ready when it has joined, its lease is live, a configuration is in force, and the
     /// table shows its services and the target beside it, so that requests find their targets.
     fn ready(&self) -> Out {
-        let missing = if *self.node.draining.borrow() {
+        let missing = if *self.node.stopping.borrow() || *self.node.draining.borrow() {
             Some("shutting down")
         } else if self.session().is_none() {
             Some("not joined")
--- a/crates/daemon/src/control/target.rs
+++ b/crates/daemon/src/control/target.rs
@@ -79,6 +79,14 @@
         deployment.1.rules.away.contains(name)
     }
 
+    /// Returns whether the target goes on without this daemon, so that the next process beside it
+    /// takes over what it holds. Moving its shards away and back would interrupt them twice.
+    pub fn target_outlives(&self) -> bool {
+        let target = self.node.target.borrow();
+        let alive = target.as_ref().filter(|t| t.state == AnnouncedState::Ready);
+        alive.is_some_and(|t| t.life != 0) && !self.is_away()
+    }
+
     /// Returns the capacity that the table shows, in requests per second.
     pub(super) fn reported_capacity(&self) -> u32 {
         self.capacity.load(Ordering::Relaxed)
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -196,7 +196,10 @@
     classes::Request {
         service: service.map_or("", |s| s.name.as_str()),
         method: &head.method,
-        path: &head.path,
+        path: match usize::from(head.prefix_bytes) {
+            0 => &head.path,
+            prefix => head.path.get(..prefix).unwrap_or(&head.path),
+        },
         key_segment,
     }
 }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -4,9 +4,9 @@
 //! place or found no room, is decided by [`masticdeal_policy::redirect`]; it costs no retry budget,
 //! so that a move shows as latency. Everything else is decided by [`masticdeal_policy::retry`].
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use http_body::Body as _;
 use masticdeal_config::deployment::Service;
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_policy::outcome::Ending;
@@ -97,7 +97,8 @@
     /// Returns the rules of a service's retries: its own, or this daemon's part of what the settings
     /// give to the whole fleet.
     fn retry_rules(&self, service: &Service) -> Rules {
-        let fleet = &self.node.settings.retries;
+        let tuning = Arc::clone(&self.node.tuning.borrow());
+        let fleet = &tuning.retries;
         let daemons = self.node.table.borrow().sessions.len().max(1);
         Rules {
             name: service.name.clone(),
@@ -135,12 +136,7 @@
             record(choice, &outcome, given);
         }
         match outcome {
-            Outcome::Answer(answer) => {
-                if let Some(choice) = &choice {
-                    choice.note_size(answer.body.size_hint().exact());
-                }
-                Ok(Answered { answer, vm, choice })
-            }
+            Outcome::Answer(answer) => Ok(Answered { answer, vm, choice }),
             Outcome::Failed(failure) if body.failed() == Some(BodyError::TooLarge) => {
                 Err(Failure {
                     reason: Reason::TooLarge,
--- a/crates/daemon/src/ingress/balance.rs
+++ b/crates/daemon/src/ingress/balance.rs
@@ -231,7 +231,12 @@
             expected,
         } = state.classes.classify(now, shape);
         let bytes = state.sizes.get(&shape).copied().unwrap_or(0.0);
-        let far = node.settings.placing.far_per_kb.mul_f64(bytes / 1024.0);
+        let far = node
+            .tuning
+            .borrow()
+            .placing
+            .far_per_kb
+            .mul_f64(bytes / 1024.0);
         let target = state.choose(now, far, tried)?;
         let session = state.targets[target.0 as usize].session;
         let expected = expected.map(|e| e.mean);
@@ -319,9 +324,7 @@
         }
     }
 
-    /// Notes the size of the answer in bytes, when its head tells.
-    pub fn note_size(&self, bytes: Option<u64>) {
-        let Some(bytes) = bytes else { return };
+    fn note_size(&self, bytes: u64) {
         let mut state = self.balance.lock();
         if state.sizes.len() >= MAX_SIZES && !state.sizes.contains_key(&self.shape) {
             state.sizes.clear();
@@ -330,9 +333,10 @@
         *mean += SIZE_WEIGHT * (bytes as f64 - *mean);
     }
 
-    /// Marks the request as answered in full.
-    pub fn complete(&mut self) {
+    /// Marks the request as answered in full, with this many bytes.
+    pub fn complete(&mut self, bytes: u64) {
         self.answered = true;
+        self.note_size(bytes);
     }
 }
 
--- a/crates/daemon/src/ingress/head.rs
+++ b/crates/daemon/src/ingress/head.rs
@@ -76,6 +76,7 @@
                 .path_and_query()
                 .map_or(path, |p| p.as_str())
                 .to_owned(),
+            prefix_bytes: route.map_or(0, |r| r.prefix.len() as u16),
             headers: passed_on(node, parts),
             deadline_ms: 0,
             objective_ms: None,
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -107,10 +107,9 @@
     let cut = CancellationToken::new();
     accept(&ingress, listener, &connections, &cut).await;
     connections.close();
-    if timeout(node.settings.daemon.drain, connections.wait())
-        .await
-        .is_err()
-    {
+    let daemon = &node.settings.daemon;
+    let left = daemon.drain.saturating_sub(daemon.linger);
+    if timeout(left, connections.wait()).await.is_err() {
         log::warn!("Requests were still running at the end of the drain");
         cut.cancel();
         connections.wait().await;
--- a/crates/daemon/src/ingress/reply.rs
+++ b/crates/daemon/src/ingress/reply.rs
@@ -66,6 +66,8 @@
     inner: Body,
     open: Open,
     choice: Option<Choice>,
+    /// Bytes so far.
+    bytes: u64,
     /// An error that is reported at the next poll.
     deferred: Option<BodyError>,
 }
@@ -85,7 +87,7 @@
     fn complete(&mut self) {
         self.open.outcome = "answered";
         if let Some(choice) = &mut self.choice {
-            choice.complete();
+            choice.complete(self.bytes);
         }
         self.choice = None;
     }
@@ -102,6 +104,9 @@
             return Poll::Ready(Some(Err(e)));
         }
         let frame = std::task::ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+        }
         match &frame {
             Some(Err(e)) => return self.defer(*e, cx),
             None => self.complete(),
@@ -147,6 +152,7 @@
         inner: answer.body,
         open,
         choice,
+        bytes: 0,
         deferred: None,
     };
     if body.is_end_stream() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`ingress`]: the callers' port.
 //! - [`operators`]: answers to operators.
 //! - [`telemetry`]: logs, metrics, traces.
+//! - [`reload`]: settings that change while the daemon runs.
 //! - [`run`]: starts and ends the parts.
 //! - [`shutdown`]: end of the daemon that cuts off nothing.
 
@@ -26,6 +27,7 @@
 pub mod operators;
 pub mod owner;
 pub mod peers;
+pub mod reload;
 pub mod run;
 pub mod shutdown;
 pub mod telemetry;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -31,7 +31,7 @@
         println!("{}: settings are valid", args.config);
         return ExitCode::SUCCESS;
     }
-    match masticdeald::run::run(settings, Dialect::default()) {
+    match masticdeald::run::run(settings, Dialect::default(), &args.config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("masticdeald: {e}");
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -20,6 +20,7 @@
 use crate::dialect::Dialect;
 use crate::holdings::Holdings;
 use crate::meter::Meter;
+use crate::reload::Tuning;
 use crate::telemetry::Metrics;
 
 /// Decides whether this daemon may serve a shard, or a single key of it, at this moment.
@@ -32,6 +33,8 @@
 pub struct Node {
     /// Settings, checked at start.
     pub settings: Settings,
+    /// Settings that change while the daemon runs.
+    pub tuning: watch::Sender<Arc<Tuning>>,
     /// How outside parties are spoken to.
     pub dialect: Dialect,
     /// Boot-time clock.
@@ -50,6 +53,9 @@
     pub session: watch::Sender<Option<SessionId>>,
     /// Newest versions that a peer reported; the control plane pulls when it is behind.
     pub reported: watch::Sender<Versions>,
+    /// Whether the daemon was told to stop. It still takes requests for the time that the settings
+    /// name, but is no longer ready.
+    pub stopping: watch::Sender<bool>,
     /// Whether the daemon is shutting down and takes nothing new.
     pub draining: watch::Sender<bool>,
     /// Ownership decision of the control plane.
@@ -68,6 +74,7 @@
     /// Makes the shared state with an empty table and configuration.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, may_serve: MayServe) -> Self {
         Self {
+            tuning: watch::Sender::new(Arc::new(Tuning::of(&settings))),
             settings,
             dialect: Dialect::default(),
             clock,
@@ -78,6 +85,7 @@
             target_answered_ms: AtomicU64::new(0),
             session: watch::Sender::new(None),
             reported: watch::Sender::new(Versions::default()),
+            stopping: watch::Sender::new(false),
             draining: watch::Sender::new(false),
             may_serve,
             meter: Meter::default(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,7 +21,7 @@
 use crate::owner::{self, Owner};
 use crate::peers::{self, Peers};
 use crate::telemetry::logs;
-use crate::{ingress, shutdown};
+use crate::{ingress, reload, shutdown};
 
 /// Longest time for which a leaving daemon still takes new work while its shards move. A leaving
 /// target gets no new work after 2 s.
@@ -46,12 +46,13 @@
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Runs the daemon until it gets SIGTERM or SIGINT and has drained.
+/// Runs the daemon until it gets SIGTERM or SIGINT and has drained. `path` is the settings file, which
+/// is read again with SIGHUP.
 ///
 /// # Errors
 ///
 /// Any [`Error`], before a request was taken.
-pub fn run(settings: Settings, dialect: Dialect) -> Result<()> {
+pub fn run(settings: Settings, dialect: Dialect, path: &str) -> Result<()> {
     let output = logs::init(&settings.log).map_err(Error::Logs)?;
     let runtime = if settings.daemon.threads == 1 {
         tokio::runtime::Builder::new_current_thread()
@@ -64,7 +65,7 @@
     };
     let ended = runtime
         .map_err(Error::Runtime)?
-        .block_on(serve(settings, dialect));
+        .block_on(serve(settings, dialect, path));
     output.flush();
     ended
 }
@@ -77,7 +78,7 @@
     announce: TcpListener,
 }
 
-async fn serve(settings: Settings, dialect: Dialect) -> Result<()> {
+async fn serve(settings: Settings, dialect: Dialect, path: &str) -> Result<()> {
     let listeners = Listeners::bind(&settings).await?;
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let core = Core::new(core_settings(&settings), identity(&settings, clock.now()));
@@ -88,6 +89,7 @@
         dialect,
         ..Node::new(settings, clock, may_serve)
     });
+    tokio::spawn(reload::follow(node.clone(), path.to_owned()));
     let peers = Peers::new(node.clone());
     let owner = Owner::new(node.clone());
     let platform = masticdeal_platform::Client::new(masticdeal_platform::Settings {
@@ -123,13 +125,20 @@
     ));
     log::info!("{} is listening", node.settings.daemon.name);
     stop_signal().await;
-    log::info!("stopping");
-    control.feed(Event::LeaveRequested);
-    await_left(&control, SHARDS_TIMEOUT).await;
+    let linger = node.settings.daemon.linger;
+    let resumes = control.target_outlives();
+    log::info!(linger_ms = linger.as_millis() as u64, resumes; "stopping");
+    node.stopping.send_replace(true);
+    tokio::time::sleep(linger).await;
+    if !resumes {
+        control.feed(Event::LeaveRequested);
+        await_left(&control, SHARDS_TIMEOUT).await;
+    }
     shutdown::shutdown(&node).await;
-    if !await_left(&control, LEAVE_TIMEOUT).await {
+    if !resumes && !await_left(&control, LEAVE_TIMEOUT).await {
         log::warn!("the session is still in the table at the end of the wait");
     }
+    log::info!("stopped");
     // Both end by themselves once nothing is in progress.
     let _ = callers_served.await;
     let _ = peers_served.await;
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -8,14 +8,14 @@
 
 use crate::node::Node;
 
-/// Drains the daemon for at most `settings.daemon.drain`. Returns whether everything finished; the
+/// Drains the daemon for at most `settings.daemon.drain`, which counts from the signal to stop. Returns whether everything finished; the
 /// servers of the callers' and the peers' ports return soon after.
 pub async fn shutdown(node: &Node) -> bool {
     node.draining.send_replace(true);
     node.in_progress.close();
-    let finished = timeout(node.settings.daemon.drain, node.in_progress.wait())
-        .await
-        .is_ok();
+    let daemon = &node.settings.daemon;
+    let left = daemon.drain.saturating_sub(daemon.linger);
+    let finished = timeout(left, node.in_progress.wait()).await.is_ok();
     if !finished {
         log::warn!(requests = node.in_progress.len(); "The drain ended with requests in progress");
     }
--- a/crates/ownership/examples/recovery.rs
+++ b/crates/ownership/examples/recovery.rs
@@ -41,6 +41,7 @@
         grants_checked: true,
         work: 1,
         abandon: 0.0,
+        lives: false,
     }
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -190,6 +190,9 @@
     pub method: String,
     /// Path and query of the request.
     pub path: String,
+    /// Length of the path prefix by which the route was found; 0 without a route. Requests of one
+    /// route are alike, whatever follows the prefix.
+    pub prefix_bytes: u16,
     /// End-to-end headers of the request, in order.
     pub headers: Vec<(String, Vec<u8>)>,
     /// Remaining time in milliseconds when the message was written.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -104,6 +104,7 @@
         method: "GET".into(),
         path: "/search/4711?a=b".into(),
         headers: vec![("accept".into(), vec![0xff, 0])],
+        prefix_bytes: 7,
         objective_ms: Some(300),
         deadline_ms: 100,
         idempotent: true,
