Move shards only from targets that are in need, and try targets of which nothing is known

Change: least_use keeps shards while the busiest target uses less than half of its measured capacity, unless a target has none; the planner's capacity is smoothed over about three seconds; a shard that is hot by itself may go to any target on which it lowers the peak; unknown targets count as the fastest known one; the table's watchers pause for a second after a change, and one answer of the store serves the moves of a round.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -97,7 +97,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             config: ConfigStore::new(node.clone(), platform.clone()),
-            tables: TableStore::new(platform),
+            tables: TableStore::new(platform, node.clock.clone()),
             journal: Mutex::new(Journal::new(unix_ms(), DEFAULT_BUDGET)),
             history: Mutex::default(),
             written: Mutex::default(),
--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -16,6 +16,10 @@
 use super::Control;
 use crate::holdings::Entitled;
 
+/// Time for which an answer of the platform's service shows that it is there. Several moves of one
+/// round come within it.
+const ANSWERED: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// Longest wait for a peer to take a handover. Without it the next target serves the keys slowly
 /// for a while.
 const HANDOVER_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
@@ -78,6 +82,11 @@
     /// Begins a planned move with the next report of the target, if the platform answers now. The
     /// move ends with a write there, and until then nobody serves the shard.
     pub(super) fn plan_move(self: &Arc<Self>, event: Event) {
+        let now = self.node.clock.now();
+        if now.saturating_sub(self.tables.answered()) < ANSWERED {
+            self.planned.lock().unwrap().push(event);
+            return;
+        }
         let control = self.clone();
         tokio::spawn(async move {
             match control.tables.read().await {
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -4,7 +4,9 @@
 //! The table counts its versions itself, while the service compares its own revision of the key.
 //! The store remembers which revision holds which version, so that a swap usually needs no read.
 
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -13,6 +15,8 @@
 use masticdeal_platform::{Client, Value, Written};
 use masticdeal_wire::headers::KEY_TABLE;
 
+use crate::clock::Clock;
+
 /// Why the table cannot be read.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -48,18 +52,33 @@
 /// The assignment table in the platform's service.
 pub struct TableStore {
     platform: Client,
+    clock: Arc<dyn Clock>,
     stored: Mutex<Option<Stored>>,
+    /// When the service last answered a call for the table, as milliseconds since boot.
+    answered_ms: AtomicU64,
 }
 
 impl TableStore {
     /// Makes a store; it calls the service only when asked.
-    pub fn new(platform: Client) -> Self {
+    pub fn new(platform: Client, clock: Arc<dyn Clock>) -> Self {
         Self {
             platform,
+            clock,
             stored: Mutex::new(None),
+            answered_ms: AtomicU64::new(0),
         }
     }
 
+    /// Returns when the service last answered a call for the table, as time since boot.
+    pub fn answered(&self) -> Duration {
+        Duration::from_millis(self.answered_ms.load(Ordering::Relaxed))
+    }
+
+    fn note_answer(&self) {
+        let now = self.clock.now().as_millis() as u64;
+        self.answered_ms.store(now, Ordering::Relaxed);
+    }
+
     /// Returns the newest revision that this daemon has seen; 0 before the first.
     pub fn revision(&self) -> u64 {
         self.stored.lock().unwrap().map_or(0, |s| s.revision)
@@ -72,7 +91,9 @@
     /// Any [`Error`].
     pub async fn read(&self) -> Result<Table> {
         let found = self.platform.get(KEY_TABLE).await;
-        match found.map_err(Error::Unavailable)? {
+        let found = found.map_err(Error::Unavailable)?;
+        self.note_answer();
+        match found {
             Some(value) => self.learn(&value),
             None => {
                 self.remember(0, 0);
@@ -107,6 +128,7 @@
         };
         match self.platform.swap(KEY_TABLE, revision, bytes, None).await {
             Written::Done(revision) => {
+                self.note_answer();
                 self.remember(next.version, revision);
                 Swapped::Done
             }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -26,6 +26,10 @@
 /// deltas and no reasons, so it is only used when the tree failed.
 const TREE_LEAD: Duration = Duration::from_millis(200);
 
+/// Pause after a change of the table. Moves come in series, the tree and the versions in heartbeats
+/// bring each of them, and every watch is a call that counts.
+const TABLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time between two copies of the counters into the metrics.
 const METRICS: Duration = Duration::from_secs(1);
 
@@ -131,6 +135,7 @@
             if let Some(value) = watch.next(&platform).await {
                 tokio::time::sleep(TREE_LEAD).await;
                 self.learn_watched(&value);
+                tokio::time::sleep(TABLE_PAUSE).await;
             }
         }
     }
--- a/crates/daemon/src/owner/admission.rs
+++ b/crates/daemon/src/owner/admission.rs
@@ -18,6 +18,9 @@
 /// Weight of the newest sample in the smoothed times kept here.
 const SMOOTHING: f64 = 0.1;
 
+/// The same for the planner, about the requests of three seconds at one target.
+const STEADY_SMOOTHING: f64 = 0.02;
+
 /// Time beyond the deadline for the queue's own refusal, which is more precise than a timeout.
 const REFUSAL_GRACE: Duration = Duration::from_millis(5);
 
@@ -48,8 +51,10 @@
     queue: Queue<Waiting>,
     classes: Classes,
     slots: usize,
-    /// Smoothed service time in seconds, for the load hint and the planner; 0 while unknown.
+    /// Smoothed service time in seconds, for the load hint; 0 while unknown.
     service_s: f64,
+    /// The same over many more requests, for the planner: shards must not move for a few long ones.
+    steady_s: f64,
     /// Smoothed time from the head of an answer to its end by cost class, in seconds.
     tails_s: [f64; 2],
     /// When the timer wakes next, as time since boot.
@@ -65,6 +70,7 @@
             classes: Classes::new(classes::Settings::default()),
             slots: 0,
             service_s: 0.0,
+            steady_s: 0.0,
             tails_s: [0.0; 2],
             wake_at: None,
         };
@@ -215,8 +221,8 @@
     /// Returns the measured capacity in requests per second; 0 while nothing is measured.
     pub fn service_rate(&self) -> f64 {
         let inner = self.lock();
-        if inner.service_s > 0.0 {
-            inner.slots as f64 / inner.service_s
+        if inner.steady_s > 0.0 {
+            inner.slots as f64 / inner.steady_s
         } else {
             0.0
         }
@@ -379,11 +385,12 @@
         if !whole {
             return;
         }
-        smooth(&mut inner.service_s, time);
+        smooth(&mut inner.service_s, time, SMOOTHING);
+        smooth(&mut inner.steady_s, time, STEADY_SMOOTHING);
         let (shape, cost) = self.class;
         inner.classes.record(now, shape, time);
         let tail = time.saturating_sub(self.head_after.unwrap_or(time));
-        smooth(&mut inner.tails_s[cost as usize], tail);
+        smooth(&mut inner.tails_s[cost as usize], tail, SMOOTHING);
     }
 }
 
@@ -400,8 +407,8 @@
     }
 }
 
-fn smooth(mean: &mut f64, sample: Duration) {
+fn smooth(mean: &mut f64, sample: Duration, weight: f64) {
     let sample = sample.as_secs_f64();
     let old = if *mean > 0.0 { *mean } else { sample };
-    *mean = old + SMOOTHING * (sample - old);
+    *mean = old + weight * (sample - old);
 }
--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -46,6 +46,10 @@
     pub unused: f64,
     /// Least gain of a move, as a share of the mean load.
     pub least_gain: f64,
+    /// Part of its measured capacity that the busiest target has to use before shards move, unless a
+    /// target has none at all. Below it every request finds a slot wherever its shard is, and a move
+    /// only interrupts.
+    pub least_use: f64,
     /// Whether single keys may be moved.
     pub overrides: bool,
 }
@@ -58,6 +62,7 @@
             enough: 0.05,
             unused: 0.5,
             least_gain: 0.01,
+            least_use: 0.5,
             overrides: true,
         }
     }
@@ -112,7 +117,18 @@
         let load = loads.services.get(at).unwrap_or(&idle);
         let id = ServiceId(at as u16);
         let targets = weighted(table, id, &loads.capacities);
-        plan_service(&targets, id, service, load, settings, &mut moves);
+        let measured = targets
+            .iter()
+            .all(|(s, _)| loads.capacities.get(s) > Some(&0.0));
+        let use_of = Use {
+            rate: if measured {
+                total_rate(service, load)
+            } else {
+                0.0
+            },
+            capacity: targets.iter().map(|(_, w)| *w).sum(),
+        };
+        plan_service(&targets, id, service, load, (settings, &use_of), &mut moves);
     }
     moves.sort_by(|a, b| b.gain.total_cmp(&a.gain));
     moves.truncate(settings.moves_per_round);
@@ -147,18 +163,38 @@
     })
 }
 
+/// Load and capacity of a service in requests per second.
+#[derive(Debug, Clone, Copy)]
+struct Use {
+    /// 0 while the capacity is not measured.
+    rate: f64,
+    capacity: f64,
+}
+
+impl Use {
+    /// Returns whether a target with this level has room for what comes.
+    fn has_room(&self, level: f64, settings: &PlanSettings) -> bool {
+        self.rate > 0.0 && level * self.rate < settings.least_use * self.capacity
+    }
+}
+
 fn plan_service(
     targets: &[(SessionId, f64)],
     id: ServiceId,
     service: &Service,
     load: &ServiceLoad,
-    settings: &PlanSettings,
+    (settings, use_of): (&PlanSettings, &Use),
     moves: &mut Vec<Move>,
 ) {
     let mut nodes = nodes(targets, service, load);
     if nodes.len() < 2 || service.shards.is_empty() || !starts(&nodes, settings) {
         return;
     }
+    let empty = nodes.iter().any(|n| n.shards.is_empty());
+    let peak = nodes.iter().map(Node::level).fold(0.0, f64::max);
+    if !empty && use_of.has_room(peak, settings) {
+        return;
+    }
     let mut overrides = service.overrides.len();
     for _ in 0..settings.moves_per_round {
         let Some((peak, low)) = ends(&nodes) else {
@@ -175,7 +211,8 @@
             return;
         };
         overrides += usize::from(matches!(step.load, Load::Key(_)));
-        carry_out(&mut nodes, peak, low, &step, service, load);
+        let to = nodes.iter().position(|n| n.session == step.to);
+        carry_out(&mut nodes, peak, to.unwrap_or(low), &step, service, load);
         moves.push(step);
     }
 }
@@ -267,13 +304,23 @@
     // A move interrupts the requests of its shard and costs a swap; the mean shard stands for the
     // swap.
     let swap = from.rate / from.shards.len().max(1) as f64;
-    let value = |rate: f64| gain(nodes, peak, low, rate) / (rate + swap);
-    let useful = from
-        .shards
-        .iter()
-        .filter(|(_, _, rate)| gain(nodes, peak, low, *rate) >= settings.least_gain);
-    let best = useful.max_by(|a, b| value(a.2).total_cmp(&value(b.2)))?;
-    let (shard, epoch, rate) = *best;
+    let best_for = |to: usize| {
+        let value = |rate: f64| gain(nodes, peak, to, rate) / (rate + swap);
+        let useful = from
+            .shards
+            .iter()
+            .filter(|(_, _, rate)| gain(nodes, peak, to, *rate) >= settings.least_gain);
+        let best = useful.max_by(|a, b| value(a.2).total_cmp(&value(b.2)))?;
+        Some((to, *best, value(best.2)))
+    };
+    // A shard that is hot by itself overloads the target with the lowest level as well, and fits
+    // only a fast one.
+    let others = (0..nodes.len()).filter(|to| *to != peak);
+    let found = best_for(low).or_else(|| {
+        let all = others.filter_map(best_for);
+        all.max_by(|a, b| a.2.total_cmp(&b.2))
+    });
+    let (to, (shard, epoch, rate), _) = found?;
     Some(Move {
         service,
         load: Load::Shard(Held {
@@ -282,8 +329,8 @@
             epoch,
         }),
         from: from.session,
-        to: nodes[low].session,
-        gain: gain(nodes, peak, low, rate),
+        to: nodes[to].session,
+        gain: gain(nodes, peak, to, rate),
     })
 }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -243,7 +243,7 @@
         let open: Vec<TargetIx> = all
             .filter(|ix| self.target(*ix).present && allowed(*ix))
             .collect();
-        let mean = self.mean_service();
+        let unknown = self.least_service();
         let time = |ix: TargetIx| {
             let target = self.target(ix);
             let trip = if target.place.near {
@@ -251,7 +251,7 @@
             } else {
                 far.as_secs_f64()
             };
-            expected_time(target, now, mean) + trip
+            expected_time(target, now, unknown) + trip
         };
         let mut drawn = Vec::with_capacity(DRAWN);
         for near in [true, false] {
@@ -269,16 +269,14 @@
             .min_by(|a, b| time(*a).total_cmp(&time(*b)))
     }
 
-    /// Returns the mean service time that owners counted, in seconds.
-    fn mean_service(&self) -> f64 {
-        let counts = self.targets.iter().filter(|t| t.present);
-        let known = counts
-            .filter_map(|t| t.count)
-            .filter(|c| !c.service.is_zero());
-        let (sum, n) = known.fold((0.0, 0.0), |(sum, n), c| {
-            (sum + c.service.as_secs_f64(), n + 1.0)
-        });
-        if n > 0.0 { sum / n } else { UNKNOWN_SERVICE_S }
+    /// Returns the shortest service time that owners counted, in seconds. A target of which nothing
+    /// is known is taken to be that fast, so that it is tried.
+    fn least_service(&self) -> f64 {
+        let present = self.targets.iter().filter(|t| t.present);
+        let counts = present.filter_map(|t| t.count);
+        let known = counts.filter(|c| !c.service.is_zero());
+        let least = known.map(|c| c.service.as_secs_f64());
+        least.reduce(f64::min).unwrap_or(UNKNOWN_SERVICE_S)
     }
 
     /// Chooses a target for a short request; `None` when there is none.
@@ -547,16 +545,16 @@
 
 /// Returns the expected time of one more request at a target, in seconds. A count ages towards what
 /// this daemon itself has outstanding there.
-fn expected_time(target: &Target, now: Duration, mean: f64) -> f64 {
+fn expected_time(target: &Target, now: Duration, unknown: f64) -> f64 {
     let own = f64::from(target.outstanding.iter().sum::<u32>());
     let (load, service) = match target.count {
-        None => (own, mean),
+        None => (own, unknown),
         Some(count) => {
             let age = now.saturating_sub(count.at).as_secs_f64();
             let fresh = (-age / COUNT_AGE.as_secs_f64()).exp();
             let counted = f64::from(count.load + target.sent_since);
             let service = count.service.as_secs_f64();
-            let service = if service > 0.0 { service } else { mean };
+            let service = if service > 0.0 { service } else { unknown };
             (own.max(counted * fresh), service)
         }
     };
