Let the verdict of a failed request hold for all of its attempts

Seen first by verdicts.rs::failures_of_the_target with the new script CloseThenRefuse: (503, NotRun) in place of (502, MayHaveRun), both at the ingress and at the owner. Change: the verdict is raised by every earlier attempt. Requests that are not idempotent were not affected: they are sent again only after NotRun.

--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -53,8 +53,26 @@
 }
 
 impl Ingress {
-    /// Makes attempts until there is an answer or a final failure.
+    /// Makes attempts until there is an answer or a final failure. Its verdict holds for all of them.
     pub(super) async fn attempts(&self, head: Head, body: &Replay) -> Result<Answered, Failure> {
+        let mut ran = Verdict::NotRun;
+        let answered = self.attempts_until(head, body, &mut ran).await;
+        answered.map_err(|failure| {
+            // What the last attempt says of itself says nothing about those before it.
+            let verdict = match (failure.verdict, ran) {
+                (Verdict::NotRun, Verdict::MayHaveRun | Verdict::Ran) => Verdict::MayHaveRun,
+                (verdict, _) => verdict,
+            };
+            Failure { verdict, ..failure }
+        })
+    }
+
+    async fn attempts_until(
+        &self,
+        head: Head,
+        body: &Replay,
+        ran: &mut Verdict,
+    ) -> Result<Answered, Failure> {
         let now = self.node.clock.now();
         let service = head.service().ok_or(Failure::not_run(Reason::NoService))?;
         let balance = self.services.get(now, &self.retry_rules(service));
@@ -76,6 +94,9 @@
                         Ok(answered) => return Ok(answered),
                         Err(failure) => {
                             progress.tried.push(session);
+                            if failure.verdict != Verdict::NotRun {
+                                *ran = failure.verdict;
+                            }
                             (failure, table)
                         }
                     }
--- a/crates/daemon/tests/common/target.rs
+++ b/crates/daemon/tests/common/target.rs
@@ -30,6 +30,9 @@
     Refuse(u16),
     /// Sends 304 with the length of a body that does not follow.
     Bodiless,
+    /// Reads the first request and closes without an answer, and refuses all others with 503 and the
+    /// verdict `NotRun`.
+    CloseThenRefuse,
     /// Refuses the first request with 503 and the verdict `NotRun`, and echoes all others.
     RefuseOnce,
     /// Echoes and closes the connection without announcing it.
@@ -105,12 +108,14 @@
         };
         let number = heads.fetch_add(1, Ordering::SeqCst);
         let script = match *script.lock().unwrap() {
+            Script::CloseThenRefuse if number == 0 => Script::CloseAfterRead,
+            Script::CloseThenRefuse => Script::Refuse(503),
             Script::RefuseOnce if number == 0 => Script::Refuse(503),
             Script::RefuseOnce => Script::Echo,
             other => other,
         };
         match script {
-            Script::RefuseOnce => unreachable!("replaced above"),
+            Script::RefuseOnce | Script::CloseThenRefuse => unreachable!("replaced above"),
             Script::EchoAndClose => return stream.write_all(&echo(&head, &body)).await,
             Script::Echo => stream.write_all(&echo(&head, &body)).await?,
             Script::CutLength => {
--- a/crates/daemon/tests/verdicts.rs
+++ b/crates/daemon/tests/verdicts.rs
@@ -44,6 +44,14 @@
             expected: (502, "MayHaveRun", "target-failed"),
             seen: 2..=3,
         },
+        // A refusal of the second attempt says nothing about the first.
+        Row {
+            script: Script::CloseThenRefuse,
+            method: "GET",
+            deadline_ms: "2000",
+            expected: (502, "MayHaveRun", "target-refused"),
+            seen: 2..=3,
+        },
         Row {
             script: Script::Refuse(503),
             method: "POST",
