--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -10,7 +10,7 @@
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::checker;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_ownership::lease::{Effect, Event, Expiry, Outcome, Renewal};
+use masticdeal_ownership::lease::{Effect, Event, Expiry, Joiner, Outcome, Renewal};
 use masticdeal_ownership::table::Table;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{Expired, ExpiredReply, News, Renew, RenewReply, Versions};
@@ -26,6 +26,14 @@
 /// target announces itself once a second.
 const START_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Pauses before each pull of a table that should show the join which a member was asked to write: the
+/// time of a swap, and twice that.
+const JOIN_PULLS: [Duration; 3] = [
+    Duration::from_millis(40),
+    Duration::from_millis(80),
+    Duration::from_millis(160),
+];
+
 /// Ends the process on a broken invariant. A daemon that may be wrong about what it owns must not
 /// serve; its lease then runs out and its shards get other owners.
 fn require(checked: checker::Result<()>) {
@@ -177,6 +185,7 @@
             Effect::SendExpired(expiry) => self.spawn(Self::ask_expired, expiry),
             Effect::Swap { delta, next } => self.spawn(Self::swap, (delta, next)),
             Effect::ReadTable { read } => self.spawn(Self::read_table, read),
+            Effect::AskJoin { to, joiner } => self.spawn(Self::ask_join, (to, joiner)),
             Effect::Pull { from } => self.spawn(Self::pull_from, from),
             Effect::DrainShard(held) => self.spawn(Self::drain_shard, held),
             Effect::DrainKey {
@@ -277,6 +286,23 @@
         }
     }
 
+    /// Asks a member to write the join, and pulls the table that shows it.
+    async fn ask_join(self: Arc<Self>, (to, joiner): (SessionId, Joiner)) {
+        let timeout = self.node.settings.lease.renew;
+        let asked: Option<bool> = self.call(to, headers::PATH_JOIN, &joiner, timeout).await;
+        if asked != Some(true) {
+            log::info!(session:% = to; "the member does not write the join");
+            return;
+        }
+        for pause in JOIN_PULLS {
+            tokio::time::sleep(pause).await;
+            if self.session().is_some() {
+                return;
+            }
+            self.clone().pull_from(to).await;
+        }
+    }
+
     async fn swap(self: Arc<Self>, (delta, next): (Delta, Arc<Table>)) {
         let change_id = delta.change_id;
         *self.written.lock().unwrap() = Some(delta.clone());
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use masticdeal_ownership::lease::{Effect, Event, Expiry, Held, MoveBy, Renewal};
+use masticdeal_ownership::lease::{Effect, Event, Expiry, Held, Joiner, MoveBy, Renewal};
 use masticdeal_wire::codec;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{
@@ -59,6 +59,12 @@
                 self.on_handover(decode(frame)?);
                 encode(&())
             }
+            headers::PATH_JOIN => {
+                let joiner: Joiner = decode(frame)?;
+                log::info!(vm = joiner.vm.as_str(), address:% = joiner.address; "asked for a join");
+                self.feed(Event::JoinAsked(joiner));
+                encode(&self.session().is_some())
+            }
             other => Err(Error::UnknownPath(other)),
         }
     }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -8,6 +8,7 @@
 mod core;
 mod draft;
 mod grants;
+mod join;
 mod learn;
 mod lessee;
 mod lessor;
@@ -17,7 +18,7 @@
 mod writer;
 
 pub use api::{
-    CoreSettings, Declared, Effect, Event, Expiry, Grants, Held, Identity, MoveBy, Outcome,
+    CoreSettings, Declared, Effect, Event, Expiry, Grants, Held, Identity, Joiner, MoveBy, Outcome,
     Refusal, Renewal, Rule, TargetReport, override_shard,
 };
 pub use core::Core;
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::change::Delta;
 use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
@@ -111,8 +112,29 @@
     pub seed: u64,
 }
 
+/// A process that asks a member to write its join.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Joiner {
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Name of the VM.
+    pub vm: String,
+    /// Address of the peers port.
+    pub address: SocketAddr,
+    /// Region.
+    pub region: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// The target beside it, once it announced itself.
+    pub target: Option<TargetReport>,
+    /// Session and term of an earlier process at the address, which the joiner may end (R7).
+    pub replaces: Option<(SessionId, u32)>,
+    /// Whether the joiner takes over the shards of that session.
+    pub resumes: bool,
+}
+
 /// The target beside the daemon, as it announced itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetReport {
     /// Name of the service.
     pub service: String,
@@ -300,6 +322,8 @@
         /// Epoch of the key's assignment.
         epoch: Epoch,
     },
+    /// A process asks this member to write its join.
+    JoinAsked(Joiner),
     /// The daemon shuts down: shards move away, then the session ends.
     LeaveRequested,
     /// An operator says that a VM is lost for good (R9).
@@ -348,6 +372,13 @@
         /// Number of the read.
         read: u64,
     },
+    /// Ask a member to write the join of this process, and pull from it a little later.
+    AskJoin {
+        /// The member.
+        to: SessionId,
+        /// This process.
+        joiner: Joiner,
+    },
     /// Ask a peer for what is newer than this daemon's table.
     Pull {
         /// The peer, which reported a higher version.
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::api::{
-    CoreSettings, Declared, Effect, Event, Held, Identity, MoveBy, Outcome, Renewal, Rule,
+    CoreSettings, Declared, Effect, Event, Held, Identity, Joiner, MoveBy, Outcome, Renewal, Rule,
     TargetReport,
 };
 use super::lessee::Lessee;
@@ -49,6 +49,10 @@
     pub(super) leaving: bool,
     /// Sessions that an operator declared lost.
     pub(super) lost: Vec<SessionId>,
+    /// When this process last asked a member to write its join.
+    pub(super) asked_join: Option<Duration>,
+    /// Processes whose joins this member is to write, and when each of them asked.
+    pub(super) joiners: Vec<(Duration, Joiner)>,
     /// Shards owned since a loss, with the end of the settling time.
     pub(super) settling: BTreeMap<(ServiceId, ShardId), Duration>,
     /// Shards that the newest table gives to this session.
@@ -94,6 +98,8 @@
             declared: Vec::new(),
             leaving: false,
             lost: Vec::new(),
+            asked_join: None,
+            joiners: Vec::new(),
             settling: BTreeMap::new(),
             owned: Vec::new(),
             suspects: BTreeMap::new(),
@@ -201,6 +207,7 @@
                 self.declared = declared;
                 self.learned_at = self.learned_at.max(now);
             }
+            Event::JoinAsked(joiner) => self.join_asked(now, joiner),
             Event::LeaveRequested => self.leave(),
             Event::ConfirmLost { vm } => self.confirm_lost(now, &vm),
             other => self.dispatch_move(now, other),
--- a/crates/ownership/src/lease/draft.rs
+++ b/crates/ownership/src/lease/draft.rs
@@ -9,7 +9,7 @@
 use crate::change::{Change, EndCause};
 use crate::ids::{ServiceId, SessionId, ShardId};
 use crate::journal::{LessorCause, MoveCause, Refusal, What};
-use crate::ring::{self, Place};
+use crate::ring;
 use crate::spread;
 use crate::table::{Session, Table};
 
@@ -29,7 +29,7 @@
 
 impl Draft {
     /// Adds a change when it fits the table.
-    fn push(&mut self, change: Change, what: What) -> bool {
+    pub(super) fn push(&mut self, change: Change, what: What) -> bool {
         let fits = self.table.apply_change(&change).is_ok();
         if fits {
             self.changes.push(change);
@@ -38,7 +38,7 @@
         fits
     }
 
-    fn assign(&mut self, service: ServiceId, owner: SessionId, shards: Vec<ShardId>) {
+    pub(super) fn assign(&mut self, service: ServiceId, owner: SessionId, shards: Vec<ShardId>) {
         let what = What::Assigned {
             service,
             owner,
@@ -52,7 +52,7 @@
         self.push(change, what);
     }
 
-    fn end(&mut self, session: SessionId, term: u32, cause: EndCause) -> bool {
+    pub(super) fn end(&mut self, session: SessionId, term: u32, cause: EndCause) -> bool {
         let change = Change::End {
             session,
             term,
@@ -117,6 +117,7 @@
         }
         if let Some(me) = self.session {
             self.draft_target(me, &mut draft);
+            self.draft_joiners(now, &mut draft);
             self.draft_queue(&mut draft);
             self.draft_moves(now, me, &mut draft);
             self.draft_keys(me, &mut draft);
@@ -148,50 +149,15 @@
     }
 
     fn draft_join(&mut self, now: Duration, draft: &mut Draft) -> Option<()> {
-        let mut resumed = Vec::new();
-        if let Some((old, term)) = self.predecessor().map(|old| (old.id, old.term)) {
-            if now < self.replace_at() {
-                self.journal(What::Refused(Refusal::JoinWaits(old)));
-                return None;
-            }
-            if self.resumes() {
-                resumed = shards_of(&draft.table, old);
-            }
-            draft.end(old, term, EndCause::Replaced);
-        }
-        let me = self.me.clone();
-        let place = Place {
-            id: SessionId(draft.table.next_session),
-            region: &me.region,
-            data_centre: &me.data_centre,
-        };
-        let avoid = |id| self.unlikely_lessor(now, id);
-        let mut lessors = ring::lessors(&draft.table, place, &[], self.settings.lessors, avoid);
-        if lessors.is_empty() {
-            let count = self.settings.lessors;
-            lessors = ring::lessors(&draft.table, place, &[], count, |_| false);
+        if let Some((old, _)) = self.joiner().replaces
+            && now < self.replace_at()
+        {
+            self.journal(What::Refused(Refusal::JoinWaits(old)));
+            return None;
         }
-        let what = What::Joined {
-            session: place.id,
-            vm: me.vm.clone(),
-        };
-        let session = Session {
-            id: place.id,
-            incarnation: me.incarnation,
-            vm: me.vm.clone(),
-            address: me.address,
-            region: me.region.clone(),
-            data_centre: me.data_centre.clone(),
-            lessors,
-            term: 1,
-            // With its target known, a daemon that restarts takes the shards of its predecessor.
-            target: self.wanted_target(&draft.table),
-        };
-        if draft.push(Change::Join { session }, what) {
+        let joiner = self.joiner();
+        if self.draft_joiner(now, &joiner, draft) {
             draft.own = OwnChange::Lease;
-            for (service, shards) in resumed {
-                draft.assign(service, place.id, shards);
-            }
         }
         Some(())
     }
@@ -486,7 +452,7 @@
 }
 
 /// Returns the shards of a session, by service.
-fn shards_of(table: &Table, session: SessionId) -> Vec<(ServiceId, Vec<ShardId>)> {
+pub(super) fn shards_of(table: &Table, session: SessionId) -> Vec<(ServiceId, Vec<ShardId>)> {
     let mut found = Vec::new();
     for (at, service) in table.services.iter().enumerate() {
         let owned = service.shards.iter().enumerate();
--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -59,6 +59,13 @@
         until.is_some_and(|until| now < *until)
     }
 
+    /// Tells whether a planner is to be told ([`Event::MoveReleased`](super::Event::MoveReleased))
+    /// that the shard is released. It must not be told of any other release: only the owner swaps
+    /// that one, and may keep the shard.
+    pub fn tells_planner(&self, held: Held) -> bool {
+        self.releases.is_told(held)
+    }
+
     /// Returns the end of the lease; `None` before the first.
     pub fn lease_until(&self) -> Option<Duration> {
         self.lessee.until
--- a/crates/ownership/src/lease/learn.rs
+++ b/crates/ownership/src/lease/learn.rs
@@ -63,6 +63,9 @@
         self.adopt_session(now);
         if let Some(pending) = pending {
             self.lessee.changing_to = None;
+            if settled == Some(Settled::Lost) && !pending.read_back {
+                self.writer.lost(now, &self.settings);
+            }
             self.settled(now, settled == Some(Settled::Done), pending);
         } else if let Some(delta) = delta {
             self.journal_delta(&old, delta);
@@ -70,6 +73,7 @@
         self.lessees
             .adopt(now, self.session, &table, &self.settings);
         self.releases.adopt(self.session, &table);
+        self.forget_joiners(now);
         self.adopt_shards(now, &old, delta);
         self.adopt_hints(now);
         self.effects.push(Effect::TableChanged(table));
@@ -94,7 +98,11 @@
             self.me.incarnation = self.writer.random();
         }
         self.session = id;
+        let asked = self.asked_join.take();
         if let Some(id) = id {
+            if let Some(asked) = asked {
+                self.lessee.lease_by_swap(asked, &self.settings);
+            }
             let first = self.writer.random() >> 1;
             self.lessee.start_sequence(first);
             self.step("table.shows");
--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -188,6 +188,7 @@
             .chain(queue)
             .chain(leave)
             .chain(self.move_at())
+            .chain(self.joiners_at())
             .chain(self.assign_at())
             .chain(self.lessor_change().map(|(at, _)| at))
             .min()
@@ -202,10 +203,11 @@
         if self.leaving {
             return None;
         }
-        Some(match self.predecessor() {
+        let own = match self.predecessor() {
             Some(_) => self.replace_at(),
             None => self.me.bound_at,
-        })
+        };
+        Some(own.max(self.asked_until().unwrap_or_default()))
     }
 
     /// Time from which an old session at the own address may be ended (R7). What the predecessor
@@ -364,6 +366,9 @@
     }
 
     fn swap(&mut self, now: Duration) {
+        if self.session.is_none() && self.ask_member(now) {
+            return;
+        }
         let Some(draft) = self.draft(now) else { return };
         if draft.changes.is_empty() {
             // What was due turned out not to be possible; the next table may change that.
--- a/crates/ownership/src/lease/releases.rs
+++ b/crates/ownership/src/lease/releases.rs
@@ -28,6 +28,8 @@
     pub purpose: Purpose,
     pub machine: Machine,
     pub drained_at: Option<Duration>,
+    /// Whether somebody else may swap the move.
+    pub told: bool,
 }
 
 /// One overridden key that is given up.
@@ -49,7 +51,16 @@
     /// Starts a release. Returns `false` when the shard is being released already.
     pub fn begin(&mut self, held: Held, purpose: Purpose) -> bool {
         let at = (held.service, held.shard);
-        if self.shards.contains_key(&at) {
+        let by_planner = matches!(
+            purpose,
+            Purpose::Move {
+                by: MoveBy::Planner,
+                ..
+            }
+        );
+        if let Some(known) = self.shards.get_mut(&at) {
+            // The planner is told of the release when it ends, whoever asked for it first.
+            known.told |= by_planner;
             return false;
         }
         let release = Release {
@@ -57,6 +68,7 @@
             purpose,
             machine: Machine::new(&RELEASE),
             drained_at: None,
+            told: by_planner,
         };
         self.shards.insert(at, release);
         true
@@ -80,6 +92,12 @@
         }
     }
 
+    /// Tells whether a planner may swap the move of a shard that is given up.
+    pub fn is_told(&self, held: Held) -> bool {
+        let release = self.shards.get(&(held.service, held.shard));
+        release.is_some_and(|r| r.epoch == held.epoch && r.told)
+    }
+
     /// Keeps the shards that this daemon itself was to move and that were drained by `before`.
     /// Returns whether there were any. No swap that moves one of them may be in the air.
     pub fn keep_own(&mut self, before: Duration) -> bool {
@@ -93,7 +111,7 @@
                 }
             );
             let due = release.drained_at.is_some_and(|at| at <= before);
-            !(own && due && release.machine.step("kept") == Ok("closed"))
+            !(own && due && !release.told && release.machine.step("kept") == Ok("closed"))
         });
         self.shards.len() < count
     }
@@ -108,7 +126,7 @@
                     ..
                 }
             );
-            by_owner && r.machine.state() == "released"
+            by_owner && !r.told && r.machine.state() == "released"
         });
         own.filter_map(|r| r.drained_at).min()
     }
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -40,7 +40,7 @@
     pub decisions: Vec<What>,
     sent: Duration,
     /// The answer was lost or says conflict; a read has to settle it.
-    read_back: bool,
+    pub read_back: bool,
 }
 
 /// How a swap went.
@@ -102,6 +102,11 @@
         self.failures == 0 && self.fresh.is_some_and(|(_, at)| now < at + settings.lease)
     }
 
+    /// Tells whether another process won the last race for the table.
+    pub fn lost_race(&self) -> bool {
+        self.conflicts > 0
+    }
+
     /// Tells whether the last call to the platform was answered, and none has been waiting for long.
     pub fn answers_now(&self) -> bool {
         self.failures == 0 && self.reading.is_none()
@@ -185,12 +190,17 @@
         }
         self.fresh = None;
         if conflict {
-            self.conflicts = (self.conflicts + 1).min(MAX_DOUBLINGS);
-            let limit = settings.backoff * (1 << self.conflicts);
-            self.back_off(now, limit, settings);
+            self.lost(now, settings);
         }
     }
 
+    /// Backs off after a race that a newer table shows as lost before the platform's answer did.
+    pub fn lost(&mut self, now: Duration, settings: &CoreSettings) {
+        self.conflicts = (self.conflicts + 1).min(MAX_DOUBLINGS);
+        let limit = settings.backoff * (1 << self.conflicts);
+        self.back_off(now, limit, settings);
+    }
+
     /// Drops the pending swap.
     pub fn finish(&mut self) -> Option<Pending> {
         self.pending.take()
--- a/crates/ownership/tests/fake/vm.rs
+++ b/crates/ownership/tests/fake/vm.rs
@@ -280,6 +280,7 @@
                 self.call_platform(at, Kind::Swap(delta.change_id, next));
             }
             Effect::ReadTable { read } => self.call_platform(at, Kind::Read(read)),
+            Effect::AskJoin { to, joiner } => self.send(at, to, Event::JoinAsked(joiner)),
             Effect::Pull { from } => self.ask_pull(at, from),
             Effect::TableChanged(table) => self.spread_table(at, &table),
             Effect::DrainShard(held) => self.drain(at, held),
@@ -375,8 +376,11 @@
             }
             self.at(work, Step::Own(at, process, Event::ShardDrained(held)));
             let planner = self.vms[at].planners.remove(&(held.shard.0, held.epoch.0));
-            let me = self.vms[at].core.as_ref().and_then(|c| c.session());
+            let core = self.vms[at].core.as_ref();
+            let me = core.and_then(|c| c.session());
+            let told = core.is_some_and(|c| c.tells_planner(held));
             if let (Some((planner, to)), Some(from)) = (planner, me)
+                && told
                 && let Some(delay) = self.travel(at, planner)
             {
                 let late = match self.rng.random_bool(0.3) {
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -57,21 +57,21 @@
 
 /// Every rule that the core can leave out, with the seed that shows its absence.
 const NEEDED: [Needed; 15] = [
-    needed(Rule::CountFromSend, 8),
+    needed(Rule::CountFromSend, 61),
     needed(Rule::DriftBound, 15),
-    needed(Rule::LessorNeedsLease, 35),
-    needed(Rule::NamedLessors, 212),
-    needed(Rule::FullLeaseOnNewTerm, 0),
-    needed(Rule::NoOutsideRenewals, 330),
-    needed(Rule::NoGrantAfterCommit, 12),
-    needed(Rule::AllLessors, 15),
+    needed(Rule::LessorNeedsLease, 50),
+    needed(Rule::NamedLessors, 16),
+    needed(Rule::FullLeaseOnNewTerm, 4),
+    needed(Rule::NoOutsideRenewals, 2264),
+    needed(Rule::NoGrantAfterCommit, 53),
+    needed(Rule::AllLessors, 5),
     needed(Rule::EndedLessorWait, 52),
-    needed(Rule::ReleaseFirst, 18),
-    needed(Rule::ReleaseEpoch, 167),
-    needed(Rule::ReplaceWait, 87),
-    needed(Rule::ReadBack, 978),
+    needed(Rule::ReleaseFirst, 28),
+    needed(Rule::ReleaseEpoch, 86),
+    needed(Rule::ReplaceWait, 98),
+    needed(Rule::ReadBack, 507),
     needed(Rule::GrantEnd, 0),
-    needed(Rule::CountFromSwapStart, 1203),
+    needed(Rule::CountFromSwapStart, 516),
 ];
 
 /// Guards against a rule that the checks would not miss. A seed that no longer shows its rule is
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -55,10 +55,12 @@
 pub const PATH_RELEASE: &str = "/release";
 /// Peer to peer: asks for the load of a daemon's shards and keys.
 pub const PATH_LOAD: &str = "/load";
+/// Peer to peer: asks a member to write the sender's join.
+pub const PATH_JOIN: &str = "/join";
 /// Peer to peer: what a target handed over for the next owner of its keys.
 pub const PATH_HANDOVER: &str = "/handover";
 /// Paths of all control messages between peers.
-pub const CONTROL_PATHS: [&str; 7] = [
+pub const CONTROL_PATHS: [&str; 8] = [
     PATH_RENEW,
     PATH_EXPIRED,
     PATH_DELTA,
@@ -66,6 +68,7 @@
     PATH_RELEASE,
     PATH_LOAD,
     PATH_HANDOVER,
+    PATH_JOIN,
 ];
 /// Peer to peer: one request of a caller.
 pub const PATH_FORWARD: &str = "/forward";
