Let a restarted daemon learn from its target what it still holds, and keep the linter clean

Cause: a new process knew of no grant of the one before it, so a shard that it released counted as free while its target still held it: two owners were possible. Ruled out: keeping the epoch at a resume; the table's checker wants a rise with each change of owner.

--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -37,9 +37,11 @@
             self.tell_target();
             return ReportAnswer::default();
         };
-        self.node
-            .holdings
-            .learn(self.node.clock.now(), report, count);
+        let lease = &self.node.settings.lease;
+        // An earlier process counted its lease on the same clock, and the target's may be slow.
+        let longest = lease.length + lease.length * lease.drift_ppm / 1_000_000;
+        let now = self.node.clock.now();
+        self.node.holdings.learn(now, report, count, longest);
         self.tell_target();
         let planned = std::mem::take(&mut *self.planned.lock().unwrap());
         for event in planned {
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -17,6 +17,9 @@
 
 use crate::exchange::Failure;
 
+/// A message that was read, or what is wrong with it.
+pub type Read<T> = Result<T, String>;
+
 /// Names and translations of one set of protocols.
 pub struct Dialect {
     /// Wire format of the platform's service.
@@ -77,7 +80,7 @@
 /// How targets report, and how they are told what they hold.
 pub struct TargetFormat {
     /// Reads a message by its path and body; `None` for a path that is not one of a target's.
-    pub decode: fn(&str, &[u8]) -> Option<Result<TargetMessage, String>>,
+    pub decode: fn(&str, &[u8]) -> Option<Read<TargetMessage>>,
     /// Writes the answer to a report.
     pub encode: fn(&ReportAnswer) -> Bytes,
     /// Whether grants are the answers to reports. Otherwise the daemon sends them itself.
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -1,8 +1,9 @@
 //! What the target beside the daemon may hold, when its grants are the answers to its reports.
 //!
 //! Invariants: a shard counts as held from the answer that grants it until a later report of the
-//! same life shows it gone, or the grant has run out by the clock; and no grant outlives the lease
-//! under which it was given. So a shard that does not count as held may be given to another owner.
+//! same life shows it gone, or the grant has run out by the clock; what a report names counts as held
+//! whoever granted it, such as an earlier process of the daemon; and no grant outlives the lease under
+//! which it was given. So a shard that does not count as held may be given to another owner.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
@@ -75,8 +76,9 @@
 }
 
 impl Holdings {
-    /// Takes over what a report shows. `count` is the number of shards of the service.
-    pub fn learn(&self, now: Duration, report: &Report, count: u32) {
+    /// Takes over what a report shows. `count` is the number of shards of the service, `longest` the
+    /// longest time for which an earlier process may have granted what the report names.
+    pub fn learn(&self, now: Duration, report: &Report, count: u32, longest: Duration) {
         let mut state = self.lock();
         if state.life != report.announce.life {
             state.life = report.announce.life;
@@ -94,6 +96,7 @@
             let held = || report.holds.iter().any(|r| overlaps(r, *shard, count));
             now < granted.until && (kept || held())
         });
+        state.note_reported(now, report, count, longest);
         drop(state);
         self.changed.notify_waiters();
     }
@@ -129,11 +132,12 @@
         }
     }
 
-    /// Returns whether the target holds the shard under this epoch.
+    /// Returns whether the target holds the shard for an owner with this epoch. A target that held it
+    /// under a lower one never stopped: nobody else is granted a shard that it may hold.
     pub fn holds(&self, now: Duration, shard: ShardId, epoch: Epoch) -> bool {
         let state = self.lock();
         let granted = state.granted.get(&shard);
-        granted.is_some_and(|g| g.epoch == epoch && g.from <= now && now < g.until)
+        granted.is_some_and(|g| g.epoch <= epoch && g.from <= now && now < g.until)
     }
 
     /// Notes that the target's process is gone, and with it all that it held.
@@ -172,6 +176,21 @@
 }
 
 impl State {
+    fn note_reported(&mut self, now: Duration, report: &Report, count: u32, longest: Duration) {
+        for range in &report.holds {
+            for shard in (0..count).map(ShardId) {
+                if overlaps(range, shard, count) {
+                    self.granted.entry(shard).or_insert(Granted {
+                        epoch: Epoch(range.epoch),
+                        from: now,
+                        until: now + longest,
+                        answer: 0,
+                    });
+                }
+            }
+        }
+    }
+
     fn note_released(&mut self, range: &ReleasedRange, count: u32) {
         for at in 0..count {
             let shard = ShardId(at);
--- a/crates/platform/src/binding.rs
+++ b/crates/platform/src/binding.rs
@@ -112,7 +112,7 @@
     /// Writes a call.
     pub encode: fn(&Op<'_>) -> Message,
     /// Reads the answer to a call. A status that the format does not know is
-    /// [`Error::Status`](crate::Error::Status), which leaves the outcome of a write open.
+    /// [`Error::Status`], which leaves the outcome of a write open.
     pub decode: fn(&Op<'_>, &Reply) -> Result<Answer>,
 }
 
