Drop a branch that is never taken and a bound that always holds

Cause: drain_shard returns early for targets that take their grants as answers to reports, and single keys of their services are never moved, so the same branch in take_back was dead and its parameter unused; the planner's loads have one entry a service of the table, so taking that many bounds nothing. No behaviour changes.

--- a/crates/daemon/src/control/grants.rs
+++ b/crates/daemon/src/control/grants.rs
@@ -74,7 +74,7 @@
             self.feed(Event::MoveAbandoned(held));
             return;
         }
-        self.take_back(held).await;
+        self.take_back().await;
         self.feed(Event::ShardDrained(held));
     }
 
@@ -85,12 +85,7 @@
     ) {
         let shard = override_shard(key_hash);
         self.owner.drained(service, shard).await;
-        self.take_back(Held {
-            service,
-            shard,
-            epoch,
-        })
-        .await;
+        self.take_back().await;
         self.feed(Event::KeyDrained {
             service,
             key_hash,
@@ -110,10 +105,7 @@
 
     /// Returns once the target has confirmed a grant without what the core has released, or its last
     /// grant has run out.
-    async fn take_back(&self, held: Held) {
-        if self.node.range_shards(held.service).is_some() {
-            return self.await_released(held).await;
-        }
+    async fn take_back(&self) {
         let lapsed = self.node.clock.now() + self.node.settings.lease.length;
         while self.node.clock.now() < lapsed {
             if self.send_grants().await {
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -49,7 +49,7 @@
         let census = self.census().await;
         let table = self.node.table.borrow().clone();
         let mut loads = loads(&table, &census);
-        self.drop_hot_keys(&table, &mut loads);
+        self.drop_hot_keys(&mut loads);
         let rules = self.node.deployment.borrow().1.rules.clone();
         let settings = PlanSettings {
             moves_per_round: rules.moves_per_round,
@@ -63,13 +63,8 @@
 
     /// Leaves single keys where they are when targets are granted ranges: a key falls back to its
     /// shard under the shard's epoch, which such a target does not take after that of the key.
-    fn drop_hot_keys(&self, table: &Table, loads: &mut Loads) {
-        for (at, load) in loads
-            .services
-            .iter_mut()
-            .enumerate()
-            .take(table.services.len())
-        {
+    fn drop_hot_keys(&self, loads: &mut Loads) {
+        for (at, load) in loads.services.iter_mut().enumerate() {
             if self.node.range_shards(ServiceId(at as u16)).is_some() {
                 load.hot.clear();
             }
