Let the last daemon of a fleet serve, by leases that reads of the table give

Cause: a session without lessors kept no lease and had no reason to call the platform. The last daemon of a fleet served nothing until another joined, and processes that were ended behind a cut while each took itself for the last one never learned it.

Ruled out: a fault of the fake's watch alone. It drops events that a real watch would bring later, and a daemon that waits for an event is stuck for as long as its watch is; the lone daemon serves nothing with a perfect watch as well.

Change: rule R13. Such a session reads the table as often as others renew, and each read that still shows it without lessors gives a lease counted from when it was asked.

--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -1,7 +1,7 @@
 //! The lease core: keeps this daemon's session and lease, renews those of its lessees, ends the
 //! sessions that both of their lessors have counted out, and decides what this daemon may serve.
 //!
-//! Section 6 of the design page states the rules (R1 to R12) that the comments name. All times are
+//! Section 6 of the design page states the rules (R1 to R13) that the comments name. All times are
 //! boot times of this VM.
 
 mod api;
--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -129,6 +129,8 @@
         };
         let asks = self.lessees.ask_at(&self.settings);
         let asks = asks.map(|at| at.max(not_before)).filter(|_| !reading);
+        let lone = self.lone_read_at();
+        let lone = lone.map(|at| at.max(not_before)).filter(|_| !reading);
         let settled = self.settling.values().copied().min();
         let kept = self.releases.first_own();
         let kept = kept.filter(|_| self.writer.pending.is_none() && !self.writer.answers_now());
@@ -137,6 +139,7 @@
             self.lessee.next_send(),
             waits,
             asks,
+            lone,
             settled,
             self.writer.next_deadline(),
         ]
--- a/crates/ownership/src/lease/learn.rs
+++ b/crates/ownership/src/lease/learn.rs
@@ -26,9 +26,32 @@
         if let Some(table) = table {
             self.informed = true;
             self.learn(now, table, None);
+            self.lease_by_read(now);
         }
     }
 
+    /// Extends the lease of a session without lessors from when the platform was asked (R13).
+    fn lease_by_read(&mut self, now: Duration) {
+        if !self.is_lone() {
+            return;
+        }
+        let Some(asked) = self.writer.shown_at(self.table.version) else {
+            return;
+        };
+        let from = match self.settings.without {
+            Some(Rule::CountFromSend) => now,
+            _ => asked,
+        };
+        self.lessee.extend(from, &self.settings);
+        self.effects.push(Effect::GrantsChanged);
+    }
+
+    /// Tells whether the newest table names no lessor for the own session.
+    pub(super) fn is_lone(&self) -> bool {
+        let own = self.session.and_then(|id| self.table.session(id));
+        own.is_some_and(|s| s.lessors.is_empty())
+    }
+
     pub(super) fn learn_deltas(&mut self, now: Duration, deltas: &[Delta]) {
         for delta in deltas {
             if delta.to != self.table.version + 1 {
@@ -101,7 +124,7 @@
         let asked = self.asked_join.take();
         if let Some(id) = id {
             if let Some(asked) = asked {
-                self.lessee.lease_by_swap(asked, &self.settings);
+                self.lessee.extend(asked, &self.settings);
             }
             let first = self.writer.random() >> 1;
             self.lessee.start_sequence(first);
@@ -127,7 +150,7 @@
                 Some(Rule::CountFromSwapStart) => now,
                 _ => pending.started,
             };
-            self.lessee.lease_by_swap(from, &self.settings);
+            self.lessee.extend(from, &self.settings);
         }
         for what in pending.decisions {
             self.effects.push(Effect::Journal(Decision {
--- a/crates/ownership/src/lease/lessee.rs
+++ b/crates/ownership/src/lease/lessee.rs
@@ -94,12 +94,9 @@
         }
     }
 
-    /// Records the lease that a swap of the own record gives (R12).
-    pub fn lease_by_swap(&mut self, started: Duration, settings: &CoreSettings) {
-        self.extend(started, settings);
-    }
-
-    fn extend(&mut self, from: Duration, settings: &CoreSettings) {
+    /// Records a lease that counts from `from`: the start of a swap of the own record (R12), a read
+    /// of the table (R13), or the sending of a renewal.
+    pub fn extend(&mut self, from: Duration, settings: &CoreSettings) {
         let end = from + lessee_length(settings);
         self.until = Some(self.until.map_or(end, |until| until.max(end)));
     }
--- a/crates/ownership/src/lease/propose.rs
+++ b/crates/ownership/src/lease/propose.rs
@@ -38,6 +38,7 @@
             self.effects.push(effect);
         }
         self.ask_lessors(now);
+        self.read_as_lone(now);
         self.keep_unwritten(now);
         let due = self.due_at().is_some_and(|at| at <= now);
         if self.writer.pending.is_some() || !due || now < self.writer.not_before {
@@ -55,6 +56,24 @@
         }
     }
 
+    /// Reads the table while no lessor renews the own lease.
+    fn read_as_lone(&mut self, now: Duration) {
+        let due = self.lone_read_at().is_some_and(|at| at <= now);
+        if due && let Some(read) = self.writer.read(now) {
+            self.effects.push(read);
+        }
+    }
+
+    /// Returns when a session without lessors reads the table next: as often as others renew. It also
+    /// learns by this that others joined, or that they ended it.
+    pub(super) fn lone_read_at(&self) -> Option<Duration> {
+        if !self.is_lone() {
+            return None;
+        }
+        let shown = self.writer.shown_at(self.table.version);
+        Some(shown.map_or(self.writer.not_before, |at| at + self.settings.renew))
+    }
+
     /// Keeps the shards that this daemon was to move, when the platform does not take the swap. An
     /// outage that begins in the middle of a move would otherwise leave them without an owner that
     /// serves them until it ends.
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -97,6 +97,12 @@
             .is_some_and(|(have, at)| have == version && recent(at))
     }
 
+    /// Returns when the read was asked that showed this version last.
+    pub fn shown_at(&self, version: u64) -> Option<Duration> {
+        let shown = self.fresh.filter(|(have, _)| *have == version);
+        shown.map(|(_, asked)| asked)
+    }
+
     /// Tells whether the platform answered a read within the last lease.
     pub fn platform_answers(&self, now: Duration, settings: &CoreSettings) -> bool {
         self.failures == 0 && self.fresh.is_some_and(|(_, at)| now < at + settings.lease)
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -9,6 +9,15 @@
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 
+/// Guards against processes that each take themselves for the last one and never learn otherwise: the
+/// seed left three of them so, and nothing was served after the recovery.
+#[test]
+fn processes_that_believe_themselves_alone_find_each_other() {
+    if let Err(broken) = run_seed(601_614, None) {
+        panic!("{broken:?}");
+    }
+}
+
 #[test]
 fn invariants_hold_under_random_faults() {
     random_faults([7; 32], 100, false);
@@ -57,19 +66,19 @@
 
 /// Every rule that the core can leave out, with the seed that shows its absence.
 const NEEDED: [Needed; 15] = [
-    needed(Rule::CountFromSend, 61),
-    needed(Rule::DriftBound, 15),
-    needed(Rule::LessorNeedsLease, 50),
-    needed(Rule::NamedLessors, 16),
+    needed(Rule::CountFromSend, 66),
+    needed(Rule::DriftBound, 31),
+    needed(Rule::LessorNeedsLease, 16),
+    needed(Rule::NamedLessors, 24),
     needed(Rule::FullLeaseOnNewTerm, 4),
-    needed(Rule::NoOutsideRenewals, 2264),
-    needed(Rule::NoGrantAfterCommit, 53),
-    needed(Rule::AllLessors, 5),
+    needed(Rule::NoOutsideRenewals, 2164),
+    needed(Rule::NoGrantAfterCommit, 113),
+    needed(Rule::AllLessors, 10),
     needed(Rule::EndedLessorWait, 52),
-    needed(Rule::ReleaseFirst, 28),
-    needed(Rule::ReleaseEpoch, 86),
-    needed(Rule::ReplaceWait, 98),
-    needed(Rule::ReadBack, 507),
+    needed(Rule::ReleaseFirst, 39),
+    needed(Rule::ReleaseEpoch, 162),
+    needed(Rule::ReplaceWait, 116),
+    needed(Rule::ReadBack, 2164),
     needed(Rule::GrantEnd, 0),
     needed(Rule::CountFromSwapStart, 516),
 ];
--- a/crates/ownership/tests/recovery.rs
+++ b/crates/ownership/tests/recovery.rs
@@ -106,6 +106,28 @@
     }
 }
 
+/// Guards against a last daemon that serves nothing although its platform answers, and against one
+/// that never serves again after a pause, since it has no lessor that would tell it anything.
+#[googletest::test]
+fn the_last_daemon_serves_on_and_again_after_a_pause() {
+    let setup = Setup {
+        places: vec![("r", "a"), ("r", "b")],
+        shards: SHARDS,
+        ..Setup::default()
+    };
+    let mut world = World::new(setup, 5);
+    run(&mut world, ms(14_000));
+    inject(&mut world, Fault::Kill(1));
+    expect_that!(recover(&mut world), lt(ms(1_500)));
+    for _ in 0..100 {
+        run(&mut world, ms(100));
+        expect_that!(world.served(), eq(SHARDS as usize));
+    }
+    inject(&mut world, Fault::Freeze(0, 3_000));
+    run(&mut world, ms(3_100));
+    expect_that!(recover(&mut world), lt(ms(1_500)));
+}
+
 /// Guards against mutual lessors: their loss at once would need an operator.
 #[googletest::test]
 fn a_vm_and_its_lessor_are_recovered_within_a_second() {
