--- a/crates/daemon/src/control/relay.rs
+++ b/crates/daemon/src/control/relay.rs
@@ -7,7 +7,7 @@
 //! daemon's own; a write carries its condition and its change id, so that its outcome is settled as
 //! that of any other.
 //!
-//! Invariant: while nobody reaches the service, each member calls it no more than once in [`REST`] for
+//! Invariant: while nobody reaches the service, each member calls it no more than once a second for
 //! all that ask it.
 
 use std::sync::Arc;
