--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -104,7 +104,6 @@
         Arc::new(Self {
             config: ConfigStore::new(node.clone(), platform.clone()),
             tables: TableStore::new(
-                platform.clone(),
                 Relay::new(node.clone(), peers.clone(), platform),
                 node.clock.clone(),
             ),
--- a/crates/daemon/src/control/relay.rs
+++ b/crates/daemon/src/control/relay.rs
@@ -1,4 +1,4 @@
-//! Calls to the platform's service through a member that reaches it.
+//! Calls to the platform's service for the table: direct ones, or through a member that reaches it.
 //!
 //! The service may turn some VMs away, or be cut off from them, while it serves the others. A daemon in
 //! that place keeps its lease through its peers, but could not write: a target that leaves would keep its
@@ -7,8 +7,8 @@
 //! daemon's own; a write carries its condition and its change id, so that its outcome is settled as
 //! that of any other.
 //!
-//! Invariant: while nobody reaches the service, each member calls it no more than once a second for
-//! all that ask it.
+//! A member whose own call failed answers without calling for a second, so that a service that nobody
+//! reaches is not called once for each daemon that asks.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_platform::{Client, Value, Written};
+use masticdeal_platform::{Client, Result, Value, Written};
 use masticdeal_wire::headers::{KEY_TABLE, PATH_STORE};
 use masticdeal_wire::peer::{StoreCall, StoreReply};
 
@@ -33,7 +33,7 @@
 /// Members that are asked for one call.
 const ASKED: usize = 2;
 
-/// How the service was reached last.
+/// The way to the service, and how it was reached last.
 pub struct Relay {
     node: Arc<Node>,
     peers: Arc<Peers>,
@@ -54,13 +54,13 @@
     }
 
     /// Returns whether the service is to be called directly now.
-    pub fn is_direct(&self) -> bool {
+    fn is_direct(&self) -> bool {
         let failed = Duration::from_millis(self.failed_ms.load(Ordering::Relaxed));
         failed.is_zero() || self.node.clock.now() >= failed + REST
     }
 
     /// Notes whether a direct call was answered.
-    pub fn note(&self, answered: bool) {
+    fn note(&self, answered: bool) {
         let now = (self.node.clock.now().as_millis() as u64).max(1);
         let failed = if answered { 0 } else { now };
         let before = self.failed_ms.swap(failed, Ordering::Relaxed);
@@ -69,6 +69,33 @@
         }
     }
 
+    /// Reads the table.
+    ///
+    /// # Errors
+    ///
+    /// That of the direct call, when no member reaches the service either.
+    pub async fn read(&self) -> Result<Option<Value>> {
+        let direct_first = self.is_direct();
+        if !direct_first && let Some(found) = self.member_read().await {
+            return Ok(found);
+        }
+        match self.direct_read().await {
+            Err(e) if direct_first => self.member_read().await.ok_or(e),
+            direct => direct,
+        }
+    }
+
+    /// Writes the table when its key stands at revision `expect`. A direct write whose answer is lost is not
+    /// repeated here: the caller reads back first.
+    pub async fn swap(&self, expect: u64, bytes: Bytes) -> StoreReply {
+        if !self.is_direct()
+            && let Some(reply) = self.member_swap(expect, &bytes).await
+        {
+            return reply;
+        }
+        self.direct_swap(expect, bytes).await
+    }
+
     /// Makes a call for a member that does not reach the service.
     pub async fn serve(&self, call: StoreCall) -> StoreReply {
         if !self.is_direct() {
@@ -76,27 +103,36 @@
         }
         match call {
             StoreCall::Read => {
-                let read = self.platform.get(KEY_TABLE).await;
-                self.note(read.is_ok());
+                let read = self.direct_read().await;
                 read.map_or(StoreReply::Unavailable, |found| {
                     StoreReply::Table(found.map(|v| (v.revision, v.bytes.to_vec())))
                 })
             }
-            StoreCall::Swap { expect, bytes } => {
-                let bytes = Bytes::from(bytes);
-                let written = self.platform.swap(KEY_TABLE, expect, bytes, None).await;
-                self.note(!matches!(written, Written::Unknown(_)));
-                match written {
-                    Written::Done(revision) => StoreReply::Done(revision),
-                    Written::Conflict(revision) => StoreReply::Conflict(revision),
-                    Written::Unknown(_) => StoreReply::Unknown,
-                }
+            StoreCall::Swap { expect, bytes } => self.direct_swap(expect, bytes.into()).await,
+        }
+    }
+
+    async fn direct_read(&self) -> Result<Option<Value>> {
+        let read = self.platform.get(KEY_TABLE).await;
+        self.note(read.is_ok());
+        read
+    }
+
+    async fn direct_swap(&self, expect: u64, bytes: Bytes) -> StoreReply {
+        let written = self.platform.swap(KEY_TABLE, expect, bytes, None).await;
+        self.note(!matches!(written, Written::Unknown(_)));
+        match written {
+            Written::Done(revision) => StoreReply::Done(revision),
+            Written::Conflict(revision) => StoreReply::Conflict(revision),
+            Written::Unknown(e) => {
+                log::warn!(expect, error:% = e; "the answer to a swap of the table is lost");
+                StoreReply::Unknown
             }
         }
     }
 
     /// Reads the table through a member; `None` when no member reaches the service.
-    pub async fn read(&self) -> Option<Option<Value>> {
+    async fn member_read(&self) -> Option<Option<Value>> {
         for member in self.members() {
             if let Some(StoreReply::Table(found)) = self.ask(member, &StoreCall::Read).await {
                 return Some(found.map(|(revision, bytes)| Value {
@@ -110,7 +146,7 @@
 
     /// Writes the table through a member; `None` when nothing was written, since no member reaches the
     /// service.
-    pub async fn swap(&self, expect: u64, bytes: &Bytes) -> Option<StoreReply> {
+    async fn member_swap(&self, expect: u64, bytes: &Bytes) -> Option<StoreReply> {
         let call = StoreCall::Swap {
             expect,
             bytes: bytes.to_vec(),
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -12,8 +12,7 @@
 use displaydoc::Display;
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::table::{self, Table};
-use masticdeal_platform::{Client, Value, Written};
-use masticdeal_wire::headers::KEY_TABLE;
+use masticdeal_platform::Value;
 use masticdeal_wire::peer::StoreReply;
 
 use super::relay::Relay;
@@ -53,7 +52,6 @@
 
 /// The assignment table in the platform's service.
 pub struct TableStore {
-    platform: Client,
     relay: Relay,
     clock: Arc<dyn Clock>,
     stored: Mutex<Option<Stored>>,
@@ -63,9 +61,8 @@
 
 impl TableStore {
     /// Makes a store; it calls the service only when asked.
-    pub fn new(platform: Client, relay: Relay, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(relay: Relay, clock: Arc<dyn Clock>) -> Self {
         Self {
-            platform,
             relay,
             clock,
             stored: Mutex::new(None),
@@ -94,7 +91,7 @@
     ///
     /// Any [`Error`].
     pub async fn read(&self) -> Result<Table> {
-        let found = self.get().await?;
+        let found = self.relay.read().await.map_err(Error::Unavailable)?;
         self.note_answer();
         match found {
             Some(value) => self.learn(&value),
@@ -105,21 +102,6 @@
         }
     }
 
-    async fn get(&self) -> Result<Option<Value>> {
-        if !self.relay.is_direct()
-            && let Some(found) = self.relay.read().await
-        {
-            return Ok(found);
-        }
-        let direct = self.platform.get(KEY_TABLE).await;
-        self.relay.note(direct.is_ok());
-        let failed = match direct {
-            Ok(found) => return Ok(found),
-            Err(e) => Error::Unavailable(e),
-        };
-        self.relay.read().await.ok_or(failed)
-    }
-
     /// Returns the relay, for the calls of other members.
     pub fn relay(&self) -> &Relay {
         &self.relay
@@ -149,7 +131,7 @@
                 return Swapped::Conflict(None);
             }
         };
-        match self.write(revision, bytes).await {
+        match self.relay.swap(revision, bytes).await {
             StoreReply::Done(revision) => {
                 self.note_answer();
                 self.remember(next.version, revision);
@@ -160,26 +142,6 @@
         }
     }
 
-    /// Makes one write. A direct one whose answer is lost is not repeated here: the caller reads back
-    /// first.
-    async fn write(&self, revision: u64, bytes: Bytes) -> StoreReply {
-        if !self.relay.is_direct()
-            && let Some(reply) = self.relay.swap(revision, &bytes).await
-        {
-            return reply;
-        }
-        let written = self.platform.swap(KEY_TABLE, revision, bytes, None).await;
-        self.relay.note(!matches!(written, Written::Unknown(_)));
-        match written {
-            Written::Done(revision) => StoreReply::Done(revision),
-            Written::Conflict(at) => StoreReply::Conflict(at),
-            Written::Unknown(e) => {
-                log::warn!(revision, error:% = e; "the answer to a swap of the table is lost");
-                StoreReply::Unknown
-            }
-        }
-    }
-
     /// Returns the service's revision of a version of the table, or `None` when the table stands
     /// at another version or the service does not answer.
     async fn revision_of(&self, version: u64) -> Option<u64> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,6 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use masticdeal_config::settings::Settings;
 use masticdeald::dialect::Dialect;
 
 /// Routes requests to the servers that own their keys. One daemon runs beside each target.
@@ -20,22 +19,5 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match Settings::read(&args.config) {
-        Ok(settings) => settings,
-        Err(message) => {
-            eprint!("{message}");
-            return ExitCode::from(2);
-        }
-    };
-    if args.check {
-        println!("{}: settings are valid", args.config);
-        return ExitCode::SUCCESS;
-    }
-    match masticdeald::run::run(settings, Dialect::default(), &args.config) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("masticdeald: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    masticdeald::run::start(&args.config, args.check, Dialect::default())
 }
--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -30,7 +30,7 @@
 const CHECK_EVERY: Duration = Duration::from_millis(250);
 
 /// Largest announcement in bytes. A report names each run of keys that the target holds and each that it
-/// released, with a handover: 40 bytes for each of 1,024 shards at most, and as much again in reserve.
+/// released, with a handover: 40 bytes for each of 512 shards in both lists, and as much again in reserve.
 const MAX_BODY_BYTES: usize = 80 << 10;
 
 /// Connections to the announce port.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of the daemon, and ends them in order.
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -45,6 +46,29 @@
 /// Result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Reads the settings file `path` and runs the daemon, or only checks the file. Faults go to standard error;
+/// the exit code is 2 for those of the settings.
+pub fn start(path: &str, check: bool, dialect: Dialect) -> ExitCode {
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprint!("{message}");
+            return ExitCode::from(2);
+        }
+    };
+    if check {
+        println!("{path}: settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings, dialect, path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("masticdeald: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs the daemon until it gets SIGTERM or SIGINT and has drained. `path` is the settings file, which
 /// is read again with SIGHUP.
 ///
--- a/crates/daemon/tests/ports.rs
+++ b/crates/daemon/tests/ports.rs
@@ -233,7 +233,7 @@
     ));
     let good = announcement(9, 2);
     let large = format!("{good}{}", " ".repeat(90_000));
-    // As long as a report of 1,024 keys' runs, each with its handover.
+    // As long as a report of 512 runs held and 512 released, each with a handover.
     let long = format!("{good}{}", " ".repeat(40 * 1_024));
     let extra = good.replace("\"slots\"", "\"more\":1,\"slots\"");
     let rows: [(&str, &str, u16); 8] = [
--- a/crates/ownership/tests/races.rs
+++ b/crates/ownership/tests/races.rs
@@ -67,6 +67,24 @@
 }
 
 impl Harness {
+    fn new() -> Self {
+        Self {
+            core: core(),
+            now: Duration::ZERO,
+            stands: Arc::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Lets the platform accept a swap.
+    fn accept(&mut self, delta: &Delta, next: Arc<Table>) {
+        self.stands = next;
+        self.feed(Event::SwapOutcome {
+            change_id: delta.change_id,
+            outcome: Outcome::Done,
+        });
+    }
+
     fn feed(&mut self, event: Event) {
         let effects = self.core.handle(self.now, event);
         self.effects.extend(effects);
@@ -102,18 +120,9 @@
 /// the swap that names them: an outage that begins meanwhile takes its lease, and its keys are not served.
 #[googletest::test]
 fn a_lost_race_does_not_hold_up_the_change_of_lessors() {
-    let mut harness = Harness {
-        core: core(),
-        now: Duration::ZERO,
-        stands: Arc::default(),
-        effects: Vec::new(),
-    };
+    let mut harness = Harness::new();
     let (delta, alone) = harness.next_swap();
-    harness.stands = alone.clone();
-    harness.feed(Event::SwapOutcome {
-        change_id: delta.change_id,
-        outcome: Outcome::Done,
-    });
+    harness.accept(&delta, alone.clone());
     harness.stands = joined(&alone, 1);
     harness.feed(Event::TableLearned(harness.stands.clone()));
     let (lost, _) = harness.next_swap();
@@ -130,12 +139,7 @@
 /// many races as there are daemons: a capacity waits for a swap that is due for another reason.
 #[googletest::test]
 fn a_measured_capacity_by_itself_writes_nothing() {
-    let mut harness = Harness {
-        core: core(),
-        now: Duration::ZERO,
-        stands: Arc::default(),
-        effects: Vec::new(),
-    };
+    let mut harness = Harness::new();
     let report = |capacity, state| {
         Event::TargetChanged(Some(TargetReport {
             service: "search".into(),
@@ -157,11 +161,7 @@
     };
     while shown(&harness.stands) != Some(0) {
         let (delta, next) = harness.next_swap();
-        harness.stands = next;
-        harness.feed(Event::SwapOutcome {
-            change_id: delta.change_id,
-            outcome: Outcome::Done,
-        });
+        harness.accept(&delta, next);
     }
     harness.feed(report(60, TargetState::Ready));
     for _ in 0..2_000 {
--- a/crates/platform/src/binding.rs
+++ b/crates/platform/src/binding.rs
@@ -95,6 +95,18 @@
     pub body: Bytes,
 }
 
+impl Message {
+    /// Makes a message without headers and body.
+    pub fn new(method: Method, path: String) -> Self {
+        Self {
+            method,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+}
+
 /// An HTTP response, read in full.
 #[derive(Debug, Clone)]
 pub struct Reply {
--- a/crates/platform/src/own.rs
+++ b/crates/platform/src/own.rs
@@ -11,7 +11,7 @@
 
 fn encode(op: &Op<'_>) -> Message {
     match *op {
-        Op::Get { key } => message(Method::GET, format!("/v1/kv/{key}")),
+        Op::Get { key } => Message::new(Method::GET, format!("/v1/kv/{key}")),
         Op::Swap {
             key,
             expect,
@@ -23,29 +23,20 @@
             Message {
                 headers,
                 body: bytes.clone(),
-                ..message(Method::PUT, format!("/v1/kv/{key}"))
+                ..Message::new(Method::PUT, format!("/v1/kv/{key}"))
             }
         }
         Op::Watch { key, after, wait } => {
             let wait_ms = wait.as_millis();
             let path = format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}");
-            message(Method::GET, path)
+            Message::new(Method::GET, path)
         }
-        Op::LeaseGrant { ttl } => message(
+        Op::LeaseGrant { ttl } => Message::new(
             Method::POST,
             format!("/v1/lease?ttl_ms={}", ttl.as_millis()),
         ),
-        Op::LeaseRenew { id } => message(Method::PUT, format!("/v1/lease/{id}")),
-        Op::LeaseRevoke { id } => message(Method::DELETE, format!("/v1/lease/{id}")),
-    }
-}
-
-fn message(method: Method, path: String) -> Message {
-    Message {
-        method,
-        path,
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
+        Op::LeaseRenew { id } => Message::new(Method::PUT, format!("/v1/lease/{id}")),
+        Op::LeaseRevoke { id } => Message::new(Method::DELETE, format!("/v1/lease/{id}")),
     }
 }
 
--- a/crates/policy/src/link.rs
+++ b/crates/policy/src/link.rs
@@ -27,6 +27,13 @@
 }
 
 impl Link {
+    /// Makes an idle link with this rate in bytes a second; 0 for one that is never short.
+    pub fn new(rate: f64) -> Self {
+        let mut link = Self::default();
+        link.set_rate(rate);
+        link
+    }
+
     /// Takes over the rate of the link in bytes a second; 0 for one that is never short.
     pub fn set_rate(&mut self, rate: f64) {
         self.rate = rate * SHARE;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -89,11 +89,7 @@
     pub fn new(settings: Settings, limit: Limit) -> Self {
         Self {
             lanes: Lanes::new(settings.order),
-            link: {
-                let mut link = Link::default();
-                link.set_rate(settings.link_rate);
-                link
-            },
+            link: Link::new(settings.link_rate),
             settings,
             limit,
             running: Vec::new(),
--- a/crates/policy/src/queue/estimate.rs
+++ b/crates/policy/src/queue/estimate.rs
@@ -51,8 +51,8 @@
         Ok(())
     }
 
-    /// Admits what meets its objective, or misses it by little. While a slot is free anything may start that meets its
-    /// deadline, since nothing in time is held up by it.
+    /// Admits what meets its objective, or misses it by little. While a slot is free anything may start
+    /// that meets its deadline, since nothing in time is held up by it.
     fn admit_due(&self, now: Duration, ticket: &Ticket, expected: Expected) -> Result<(), Refusal> {
         let due = self.start_due(ticket, expected.mean);
         let link = self.link_wait(now, ticket);
--- a/crates/policy/tests/link.rs
+++ b/crates/policy/tests/link.rs
@@ -151,8 +151,7 @@
             opens_ms: 180,
         },
     ] {
-        let mut link = Link::default();
-        link.set_rate(1_250_000.0);
+        let mut link = Link::new(1_250_000.0);
         link.start(ms(0), 100_000.0);
         expect_that!(link.is_open(ms(79)), eq(false));
         link.finish(100_000.0, bytes);
