Log what a release of shards was decided on

The log did not tell apart three ways in which shards could move while the target held them. New lines: how many shards a session joined with, reported ranges that are ignored because the table does not show the service yet, and a release of a shard of which no grant is known.

--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -208,7 +208,8 @@
             Effect::GrantsChanged => self.grants_changed.notify_one(),
             Effect::LogDecision(decision) => log::debug!("{}", decision.kind),
             Effect::Joined(session) => {
-                log::info!("joined as session {session}");
+                let owned = self.core.lock().unwrap().owned().len();
+                log::info!(owned; "joined as session {session}");
             }
             Effect::Ended(session) => {
                 log::warn!("session {session} is no longer in the table");
--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -37,6 +37,10 @@
         let Some((id, shard_count)) =
             service.and_then(|id| Some((id, self.node.range_shard_count(id)?)))
         else {
+            if !report.holds.is_empty() {
+                log::info!(ranges = report.holds.len(), table = self.node.versions().table;
+                    "ranges in the target's report are ignored: the table does not show its service");
+            }
             self.update_core_target();
             return ReportReply::default();
         };
@@ -109,6 +113,10 @@
 
     /// Waits until the target can no longer hold the shard.
     pub(super) async fn await_released(&self, held: HeldShard) {
+        if !self.node.granted_shards.is_recorded(held.shard) {
+            log::info!(shard:% = held.shard, epoch = held.epoch.0;
+                "no grant of the shard to release is known");
+        }
         loop {
             let changed = self.node.granted_shards.changed();
             tokio::pin!(changed);
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -181,6 +181,11 @@
         state.granted.get(&shard).is_none_or(|g| g.until <= now)
     }
 
+    /// Returns whether a grant of the shard is recorded, expired or not.
+    pub fn is_recorded(&self, shard: ShardId) -> bool {
+        self.lock().granted.contains_key(&shard)
+    }
+
     /// Resolves at the next report, grant or call of [`Self::clear`] after this call.
     pub fn changed(&self) -> Notified<'_> {
         self.changed.notified()
