Count shards as held until grants of an earlier process have expired

Cause: a daemon that restarts beside a target takes over the shards of its earlier process. Its record of grants is empty, and the target's first report always comes before the table is read, since the read waits for it, so the report was ignored. A shard without a record counted as released. When the target had begun to leave meanwhile, all its shards moved within milliseconds, while the target held them for up to a lease. The class of fault: no knowledge was taken for proof of absence.

Change: a new process knows until when grants of an earlier one may last, one lease from its start. Until then, a shard without a record counts as released only after two reports of the target. One does not suffice, since the first to arrive may be a late one from before the earlier process's last grant. A shard that only a report showed counts as released by the next report without it.

--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -16,6 +16,7 @@
 
 use super::Control;
 use crate::holdings::GrantableShards;
+use crate::node::longest_grant;
 
 /// Time for which a reply of the platform's store counts as proof that the store is reachable. The
 /// requests for the moves of one planning round arrive within this time, so that usually only the
@@ -44,10 +45,7 @@
             self.update_core_target();
             return ReportReply::default();
         };
-        let lease = &self.node.settings.lease;
-        // An earlier process of this daemon granted shards for at most the lease duration. It used
-        // the same clock as this one, but the target's clock may be slower by `drift_ppm`.
-        let max_earlier_grant = lease.duration + lease.duration * lease.drift_ppm / 1_000_000;
+        let max_earlier_grant = longest_grant(&self.node.settings);
         let now = self.node.clock.now();
         self.node
             .granted_shards
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -7,6 +7,9 @@
 //!   [`GrantedShards::clear`] is called, or until the grant has expired by the daemon's clock.
 //! - A shard in a report counts as held no matter who granted it, for example an earlier process of
 //!   this daemon.
+//! - Until the grants of an earlier process have expired, a shard without a recorded grant counts as
+//!   held as well, unless two reports have shown that the target does not hold it. The first report
+//!   may be a late one, from before the last grant of the earlier process.
 //! - No grant outlives the lease under which it was given.
 //!
 //! A shard that does not count as held may therefore be given to another owner.
@@ -43,6 +46,10 @@
 /// Maximum number of handovers stored from the local target, and likewise from other targets.
 const MAX_STORED_HANDOVERS: usize = 1_024;
 
+/// Number of reports after which the recorded grants include all grants of an earlier process that
+/// are still valid.
+const REPORTS_UNTIL_COMPLETE: u32 = 2;
+
 /// Grant of one shard.
 #[derive(Debug, Clone, Copy)]
 struct Granted {
@@ -54,13 +61,17 @@
     serve_from: Duration,
     /// End of the grant by the daemon's clock.
     until: Duration,
-    /// Number of the last reply that granted the shard.
-    reply_number: u64,
+    /// Number of the last reply that granted the shard; `None` if only a report showed it.
+    reply_number: Option<u64>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     incarnation: u64,
+    /// When the last grant of an earlier process of this daemon expires, as time since boot.
+    earlier_grants_until: Duration,
+    /// Number of reports applied, up to [`REPORTS_UNTIL_COMPLETE`].
+    reports_applied: u32,
     /// Number of replies sent.
     replies_sent: u64,
     granted: BTreeMap<ShardId, Granted>,
@@ -93,6 +104,18 @@
 }
 
 impl GrantedShards {
+    /// Creates the record of a new process. `earlier_grants_until` is the time since boot at which
+    /// the last grant expires that an earlier process of this daemon may have made.
+    pub fn new(earlier_grants_until: Duration) -> Self {
+        Self {
+            state: Mutex::new(State {
+                earlier_grants_until,
+                ..State::default()
+            }),
+            ..Self::default()
+        }
+    }
+
     /// Applies a report of the target.
     ///
     /// `shard_count` is the number of shards of the service. `max_earlier_grant` is the longest
@@ -120,9 +143,10 @@
         // A target reports after each reply, so a shard that is neither in the last reply nor in
         // the report is no longer held.
         state.granted.retain(|shard, granted| {
-            let in_last_reply = granted.reply_number == replies_sent;
+            let in_last_reply = granted.reply_number == Some(replies_sent);
             now < granted.until && (in_last_reply || holds(*shard))
         });
+        state.reports_applied = (state.reports_applied + 1).min(REPORTS_UNTIL_COMPLETE);
         state.record_reported(now, report, shard_count, max_earlier_grant);
         drop(state);
         self.changed.notify_waiters();
@@ -175,10 +199,13 @@
     }
 
     /// Returns whether the target can no longer hold the shard: it reported the shard released, or
-    /// the grant has expired.
+    /// the grant has expired, whichever process of this daemon made it.
     pub fn is_released(&self, now: Duration, shard: ShardId) -> bool {
         let state = self.lock();
-        state.granted.get(&shard).is_none_or(|g| g.until <= now)
+        match state.granted.get(&shard) {
+            Some(granted) => granted.until <= now,
+            None => state.lists_all_grants(now),
+        }
     }
 
     /// Returns whether a grant of the shard is recorded, expired or not.
@@ -211,6 +238,11 @@
 }
 
 impl State {
+    /// Returns whether a shard without a recorded grant is not held.
+    fn lists_all_grants(&self, now: Duration) -> bool {
+        self.reports_applied == REPORTS_UNTIL_COMPLETE || self.earlier_grants_until <= now
+    }
+
     /// Records reported shards that do not count as held yet, such as those that an earlier process
     /// of this daemon granted.
     fn record_reported(
@@ -228,7 +260,7 @@
                         range_epoch: Epoch(range.epoch),
                         serve_from: now,
                         until: now + max_earlier_grant,
-                        reply_number: 0,
+                        reply_number: None,
                     });
                 }
             }
@@ -317,7 +349,7 @@
                 range_epoch: Epoch(range.epoch),
                 serve_from,
                 until,
-                reply_number: self.replies_sent,
+                reply_number: Some(self.replies_sent),
             };
             self.granted.insert(shard, granted);
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use masticdeal_config::deployment::Deployment;
 use masticdeal_config::settings::Settings;
@@ -76,9 +77,17 @@
     pub closing: watch::Sender<bool>,
 }
 
+/// Returns the longest time for which the target may hold a shard after the grant: the lease
+/// duration, by a clock that may be slower by `drift_ppm`.
+pub fn longest_grant(settings: &Settings) -> Duration {
+    let lease = &settings.lease;
+    lease.duration + lease.duration * lease.drift_ppm / 1_000_000
+}
+
 impl Node {
     /// Creates the shared state with an empty table and configuration.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, may_serve: MayServe) -> Self {
+        let earlier_grants_until = clock.now() + longest_grant(&settings);
         Self {
             reloadable_settings: watch::Sender::new(Arc::new(ReloadableSettings::from_settings(
                 &settings,
@@ -89,7 +98,7 @@
             table: watch::Sender::new(Arc::default()),
             deployment: watch::Sender::new((0, Arc::default())),
             target: watch::Sender::new(None),
-            granted_shards: GrantedShards::default(),
+            granted_shards: GrantedShards::new(earlier_grants_until),
             target_last_response_ms: AtomicU64::new(0),
             session: watch::Sender::new(None),
             reported_versions: watch::Sender::new(Versions::default()),
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -320,6 +320,50 @@
     expect_that!(granted_shards.is_released(ms(300), ShardId(1)), eq(false));
 }
 
+/// Guards against a restarted daemon that takes a shard for released because it has no record of the
+/// earlier process's grant.
+#[gtest]
+fn shard_without_a_record_counts_as_held_until_earlier_grants_expire() {
+    struct Case {
+        name: &'static str,
+        reports: &'static [&'static [HeldRange]],
+        checked_at: Duration,
+        is_released: bool,
+    }
+    const HELD: &[HeldRange] = &[HeldRange {
+        first: 0,
+        last: 511,
+        epoch: 4,
+    }];
+    let case = |name, reports, checked_at, is_released| Case {
+        name,
+        reports,
+        checked_at,
+        is_released,
+    };
+    let cases = [
+        case("no report", &[][..], ms(3_059), false),
+        case("no report, grants expired", &[][..], ms(3_060), true),
+        case("one report, which may be late", &[&[]], ms(1_000), false),
+        case("two reports without it", &[&[], &[]], ms(1_000), true),
+        case(
+            "released between two reports",
+            &[HELD, &[]],
+            ms(1_000),
+            true,
+        ),
+        case("held in both reports", &[HELD, HELD], ms(1_000), false),
+    ];
+    for c in cases {
+        let granted_shards = GrantedShards::new(ms(3_060));
+        for holds in c.reports {
+            granted_shards.apply_report(ms(100), &report(1, holds), SHARD_COUNT, ms(3_060));
+        }
+        let is_released = granted_shards.is_released(c.checked_at, ShardId(0));
+        expect_that!(is_released, eq(c.is_released), "{}", c.name);
+    }
+}
+
 /// Guards against a request that misses a grant because the grant arrives after its check of the
 /// granted shards and before its wait.
 #[gtest]
