Read the era of the platform store, and log its changes

Nothing in the logs showed which copy of the store a daemon talks to: the client now reads the store's era from every response, refusals included, and the daemon logs its changes. No decision depends on the era yet.

--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -207,6 +207,15 @@
         }
     }
 
+    /// Logs changes of the store's era, until the task is dropped.
+    pub async fn follow_store_era(self: Arc<Self>, platform: Client) {
+        let mut era_rx = platform.era();
+        while era_rx.changed().await.is_ok() {
+            let era = *era_rx.borrow_and_update();
+            log::info!(era, table = self.node.versions().table; "era of the platform store changed");
+        }
+    }
+
     /// Exports the counters of platform calls to the metrics, until the task is dropped.
     pub async fn export_platform_calls(self: Arc<Self>, platform: Client) {
         let mut exported = [0; CallKind::ALL.len()];
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -263,6 +263,7 @@
             .watch_table(platform.clone(), is_watcher_rx.clone()),
     );
     tokio::spawn(control.clone().export_platform_calls(platform.clone()));
+    tokio::spawn(control.clone().follow_store_era(platform.clone()));
     tokio::spawn(control.clone().watch_config(platform, is_watcher_rx));
     tokio::spawn(control.clone().run_planner());
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::sync::watch;
 
 use crate::binding::{Binding, HttpRequest, HttpResponse, Op, OpReply, ReadResult};
 use crate::counts::{CallCounts, CallKind};
@@ -98,6 +99,8 @@
     http: legacy::Client<HttpConnector, Full<Bytes>>,
     settings: Settings,
     counts: Arc<CallCounts>,
+    /// Newest era of the store that a response showed; 0 before the first.
+    era: watch::Sender<u64>,
 }
 
 impl Client {
@@ -114,6 +117,7 @@
             http,
             settings,
             counts: Arc::default(),
+            era: watch::Sender::new(0),
         }
     }
 
@@ -122,6 +126,13 @@
         &self.counts
     }
 
+    /// Returns the newest era of the store that a response showed, and its changes. The store raises
+    /// its era each time it comes back from an older copy: writes that it acknowledged before may
+    /// be lost, and revisions are given out again.
+    pub fn era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Reads a key. Returns `None` if it does not exist.
     ///
     /// # Errors
@@ -246,6 +257,12 @@
         let request = (self.settings.binding.encode)(op);
         let response = tokio::time::timeout(timeout, self.exchange(request)).await;
         let response = response.map_err(|_| Error::Timeout)??;
+        let era = (self.settings.binding.era)(&response);
+        self.era.send_if_modified(|newest| {
+            let is_newer = *newest < era;
+            *newest = (*newest).max(era);
+            is_newer
+        });
         (self.settings.binding.decode)(op, &response)
     }
 
--- a/crates/platform/src/native.rs
+++ b/crates/platform/src/native.rs
@@ -7,7 +7,11 @@
 use crate::{Error, Result, Value};
 
 /// The native wire format.
-pub const NATIVE_BINDING: Binding = Binding { encode, decode };
+pub const NATIVE_BINDING: Binding = Binding {
+    encode,
+    decode,
+    era: |_| 0,
+};
 
 fn encode(op: &Op<'_>) -> HttpRequest {
     match *op {
@@ -50,6 +54,7 @@
         (Op::Get { .. }, StatusCode::NOT_FOUND) => Ok(OpReply::Read(ReadResult {
             value: None,
             watch_revision: 0,
+            era: 0,
         })),
         (Op::Swap { .. }, StatusCode::OK) => Ok(OpReply::Written(revision_header(response)?)),
         (Op::Swap { .. }, StatusCode::CONFLICT) => {
@@ -60,6 +65,7 @@
             Ok(OpReply::Watched(ReadResult {
                 value: None,
                 watch_revision: *after_revision,
+                era: 0,
             }))
         }
         (Op::LeaseGrant { .. }, StatusCode::OK) => {
@@ -86,6 +92,7 @@
     Ok(ReadResult {
         watch_revision: value.revision,
         value: Some(value),
+        era: 0,
     })
 }
 
