Compare revisions of the platform store only within one era

Cause: revisions were taken to rise forever. The watch of a key continued from the larger of two revisions, so that after a 410 and a read it asked again from a revision that the store had lost, without a pause. If the store had given out that revision again meanwhile, the watch was accepted and missed the changes before it. The cached pair of table version and revision was never replaced by one with a lower revision. Ruled out: the back-off after failures, since a 410 did not count as one.

Change: revisions carry the era of the store and compare by era first. Reads that a member relays and replies to writes carry the era as well.

--- a/crates/bench/tests/platform.rs
+++ b/crates/bench/tests/platform.rs
@@ -59,7 +59,7 @@
         .client
         .swap("a/b", 0, Bytes::from("one"), None)
         .await;
-    let SwapOutcome::Applied(revision) = first else {
+    let SwapOutcome::Applied { revision, .. } = first else {
         panic!("first write: {first:?}")
     };
     let second = platform
@@ -111,7 +111,7 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     let value = platform.client.get("k").await.unwrap().unwrap();
     let winner = match intervening {
-        SwapOutcome::Applied(_) => "between",
+        SwapOutcome::Applied { .. } => "between",
         _ => "late",
     };
     assert_that!(value.bytes, eq(&Bytes::from(winner)));
@@ -127,7 +127,7 @@
         .client
         .swap("k", 0, Bytes::from("v"), Some(&lease))
         .await;
-    assert_that!(matches!(leased, SwapOutcome::Applied(_)), eq(true));
+    assert_that!(matches!(leased, SwapOutcome::Applied { .. }), eq(true));
     while platform.client.get("k").await.unwrap().is_some() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -198,7 +198,7 @@
             .swap(self.node.protocol.config.key, stored.revision, bytes, None)
             .await
         {
-            SwapOutcome::Applied(_) => {
+            SwapOutcome::Applied { .. } => {
                 self.install(&value);
                 Attempt::Accepted(value)
             }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 //!   platform's store.
 //! - [`dissemination`]: sends updates of table and configuration to peers and pulls missing ones.
 //! - [`watcher`]: watches the platform's store, on a few daemons only.
+//! - [`key_watch`]: the watch of one key.
 //! - [`grants`]: refreshes the target's grant and revokes it before a move.
 //! - [`move_reasons`]: reasons of moves, for the journals.
 //! - [`reports`]: replies to target reports with grants.
@@ -25,6 +26,7 @@
 pub mod dissemination;
 pub mod driver;
 pub mod grants;
+pub mod key_watch;
 pub mod load_collection;
 pub mod messages;
 pub mod move_reasons;
--- a/crates/daemon/src/control/relay.rs
+++ b/crates/daemon/src/control/relay.rs
@@ -20,7 +20,7 @@
 
 use bytes::Bytes;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_platform::{Client, Result, SwapOutcome, Value};
+use masticdeal_platform::{Client, ReadResult, Result, SwapOutcome, Value};
 use masticdeal_wire::headers::{KEY_TABLE, PATH_STORE};
 use masticdeal_wire::peer::{StoreCall, StoreReply};
 
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns the newest era of the store that a reply to a direct call showed.
+    pub fn era(&self) -> u64 {
+        *self.platform.era().borrow()
+    }
+
     /// Returns whether a call is made directly before members are tried: `false` during the
     /// back-off after a failed direct call.
     fn prefers_direct_calls(&self) -> bool {
@@ -81,10 +86,10 @@
     /// # Errors
     ///
     /// The error of the direct call, when no member returned the table either.
-    pub async fn read(&self) -> Result<Option<Value>> {
+    pub async fn read(&self) -> Result<ReadResult> {
         let direct_first = self.prefers_direct_calls();
-        if !direct_first && let Some(value) = self.member_read().await {
-            return Ok(value);
+        if !direct_first && let Some(read) = self.member_read().await {
+            return Ok(read);
         }
         match self.direct_read().await {
             Err(e) if direct_first => self.member_read().await.ok_or(e),
@@ -113,16 +118,17 @@
         match call {
             StoreCall::Read => {
                 let read = self.direct_read().await;
-                read.map_or(StoreReply::Unavailable, |value| {
-                    StoreReply::Table(value.map(|v| (v.revision, v.bytes.to_vec())))
+                read.map_or(StoreReply::Unavailable, |read| StoreReply::Table {
+                    era: read.era,
+                    value: read.value.map(|v| (v.revision, v.bytes.to_vec())),
                 })
             }
             StoreCall::Swap { expect, bytes } => self.direct_swap(expect, bytes.into()).await,
         }
     }
 
-    async fn direct_read(&self) -> Result<Option<Value>> {
-        let read = self.platform.get(KEY_TABLE).await;
+    async fn direct_read(&self) -> Result<ReadResult> {
+        let read = self.platform.read(KEY_TABLE).await;
         self.record_direct_call(read.is_ok());
         read
     }
@@ -134,7 +140,7 @@
             .await;
         self.record_direct_call(!matches!(written, SwapOutcome::Unknown(_)));
         match written {
-            SwapOutcome::Applied(revision) => StoreReply::Done(revision),
+            SwapOutcome::Applied { era, revision } => StoreReply::Done { era, revision },
             SwapOutcome::Conflict(revision) => StoreReply::Conflict(revision),
             SwapOutcome::Unknown(e) => {
                 log::warn!(expect = expected_revision, error:% = e;
@@ -145,14 +151,18 @@
     }
 
     /// Reads the table through a member. Returns `None` when none of those tried returned it.
-    async fn member_read(&self) -> Option<Option<Value>> {
+    async fn member_read(&self) -> Option<ReadResult> {
         for member in self.members() {
-            if let Some(StoreReply::Table(value)) = self.call_member(member, &StoreCall::Read).await
-            {
-                return Some(value.map(|(revision, bytes)| Value {
-                    revision,
-                    bytes: bytes.into(),
-                }));
+            let reply = self.call_member(member, &StoreCall::Read).await;
+            if let Some(StoreReply::Table { era, value }) = reply {
+                return Some(ReadResult {
+                    watch_revision: value.as_ref().map_or(0, |(revision, _)| *revision),
+                    value: value.map(|(revision, bytes)| Value {
+                        revision,
+                        bytes: bytes.into(),
+                    }),
+                    era,
+                });
             }
         }
         None
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -15,6 +15,7 @@
 use masticdeal_platform::Value;
 use masticdeal_wire::peer::StoreReply;
 
+use super::key_watch::Position;
 use super::relay::Relay;
 use crate::clock::Clock;
 
@@ -48,7 +49,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Stored {
     version: u64,
-    revision: u64,
+    position: Position,
 }
 
 /// Assignment table in the platform's store.
@@ -82,9 +83,9 @@
         self.last_reply_ms.store(now, Ordering::Relaxed);
     }
 
-    /// Returns the newest revision that was received; 0 before the first read.
-    pub fn revision(&self) -> u64 {
-        self.stored.lock().unwrap().map_or(0, |s| s.revision)
+    /// Returns the newest revision that was received, with its era; `None` before the first read.
+    pub fn position(&self) -> Option<Position> {
+        self.stored.lock().unwrap().map(|s| s.position)
     }
 
     /// Reads the table. Returns an empty table of version 0 when none is stored yet.
@@ -93,12 +94,12 @@
     ///
     /// Any [`Error`].
     pub async fn read(&self) -> Result<Table> {
-        let value = self.relay.read().await.map_err(Error::Unavailable)?;
+        let read = self.relay.read().await.map_err(Error::Unavailable)?;
         self.record_reply();
-        match value {
-            Some(value) => self.decode_stored(&value),
+        match read.value {
+            Some(value) => self.decode_stored(&value, read.era),
             None => {
-                self.record_stored(0, 0);
+                self.record_stored(0, Position::new(read.era, 0));
                 Ok(Table::default())
             }
         }
@@ -109,14 +110,15 @@
         &self.relay
     }
 
-    /// Decodes a value from a read or a watch and records its version and revision.
+    /// Decodes a value from a read or a watch in an era of the store and records its version and
+    /// revision.
     ///
     /// # Errors
     ///
     /// [`Error::Malformed`].
-    pub fn decode_stored(&self, value: &Value) -> Result<Table> {
+    pub fn decode_stored(&self, value: &Value, era: u64) -> Result<Table> {
         let table = table::decode(&value.bytes).map_err(Error::Malformed)?;
-        self.record_stored(table.version, value.revision);
+        self.record_stored(table.version, Position::new(era, value.revision));
         Ok(table)
     }
 
@@ -134,9 +136,9 @@
             }
         };
         match self.relay.swap(revision, bytes).await {
-            StoreReply::Done(revision) => {
+            StoreReply::Done { era, revision } => {
                 self.record_reply();
-                self.record_stored(next.version, revision);
+                self.record_stored(next.version, Position::new(era, revision));
                 SwapResult::Done
             }
             StoreReply::Conflict(_) => SwapResult::Conflict(self.read().await.ok()),
@@ -150,20 +152,21 @@
         let cached = *self.stored.lock().unwrap();
         if let Some(stored) = cached
             && stored.version == version
+            && stored.position.era >= self.relay.era()
         {
-            return Some(stored.revision);
+            return Some(stored.position.revision);
         }
         let table = self.read().await.ok()?;
         let stored = (*self.stored.lock().unwrap())?;
-        (table.version == version).then_some(stored.revision)
+        (table.version == version).then_some(stored.position.revision)
     }
 
     /// Records a version with its revision. Replies may arrive out of order, so an older revision
-    /// is ignored.
-    fn record_stored(&self, version: u64, revision: u64) {
+    /// of the same era is ignored, and so is an older era.
+    fn record_stored(&self, version: u64, position: Position) {
         let mut stored = self.stored.lock().unwrap();
-        if stored.is_none_or(|s| s.revision <= revision) {
-            *stored = Some(Stored { version, revision });
+        if stored.is_none_or(|s| s.position <= position) {
+            *stored = Some(Stored { version, position });
         }
     }
 }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -12,19 +12,17 @@
 use masticdeal_ownership::lease::Event;
 use masticdeal_ownership::planner::planner_session;
 use masticdeal_ownership::table::Table;
-use masticdeal_platform::{CallKind, Client, Error, Value};
+use masticdeal_platform::{CallKind, Client, Value};
 use masticdeal_wire::headers::KEY_TABLE;
 use tokio::sync::watch;
 
 use super::Control;
+use super::key_watch::KeyWatch;
 use crate::telemetry::metrics::KindLabel;
 
 /// Number of daemons per data centre that watch the table.
 pub const WATCHERS_PER_DATA_CENTRE: usize = 2;
 
-/// Longest wait of one watch call for a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Wait after a watch returned a table, in which the dissemination tree usually delivers the same
 /// table. The table from a watch comes without deltas and reasons, so it is installed only if the
 /// tree did not deliver it.
@@ -37,73 +35,14 @@
 /// Interval at which the call counters are exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// First delay after a failed watch.
-const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay between two attempts to load the configuration at startup.
+const LOAD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Largest fleet in which every daemon watches the configuration. A watch takes one call in half a
 /// minute and one for each change; the users' store for fleets of 71 to 76 daemons allows 6,000
 /// reads per second.
 pub const MAX_FLEET_WATCHING_CONFIG: usize = 128;
 
-/// Longest delay after a failed watch. The delay doubles up to it from [`INITIAL_RETRY_DELAY`]. The
-/// platform counts each call against its limit, refused calls included.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_500);
-
-/// State of the watch of one key.
-struct KeyWatch {
-    key: &'static str,
-    /// Revision after which the next watch starts.
-    after_revision: u64,
-    retry_delay: Duration,
-    /// Whether the last call failed.
-    failing: bool,
-}
-
-impl KeyWatch {
-    fn new(key: &'static str) -> Self {
-        Self {
-            key,
-            after_revision: 0,
-            retry_delay: INITIAL_RETRY_DELAY,
-            failing: false,
-        }
-    }
-
-    /// Waits for the next value. Returns `None` after a timeout or a failed call.
-    async fn next(&mut self, platform: &Client) -> Option<Value> {
-        let watched = match platform
-            .watch(self.key, self.after_revision, WATCH_TIMEOUT)
-            .await
-        {
-            Err(Error::Compacted) => {
-                log::info!(key = self.key, after = self.after_revision;
-                    "revisions of the watched key were compacted, reading its current value");
-                platform.read(self.key).await
-            }
-            other => other,
-        };
-        match watched {
-            Ok(watched) => {
-                if std::mem::take(&mut self.failing) {
-                    log::info!(key = self.key; "watch of the platform store succeeded again");
-                }
-                self.retry_delay = INITIAL_RETRY_DELAY;
-                self.after_revision = self.after_revision.max(watched.watch_revision);
-                watched.value
-            }
-            Err(e) => {
-                if !std::mem::replace(&mut self.failing, true) {
-                    log::warn!(key = self.key, error:% = e;
-                        "watch of the platform store failed, retrying with back-off");
-                }
-                tokio::time::sleep(self.retry_delay.mul_f64(rand::random_range(0.5..1.0))).await;
-                self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
-                None
-            }
-        }
-    }
-}
-
 /// Returns whether a session is one of the watchers in its data centre.
 pub fn is_watcher(table: &Table, me: SessionId) -> bool {
     let Some(own_session) = table.session(me) else {
@@ -158,17 +97,19 @@
             .await
             .is_ok()
         {
-            watch.after_revision = watch.after_revision.max(self.tables.revision());
-            if let Some(value) = watch.next(&platform).await {
+            if let Some(known) = self.tables.position() {
+                watch.skip_to(known);
+            }
+            if let Some((value, era)) = watch.next(&platform).await {
                 tokio::time::sleep(TREE_DELIVERY_DELAY).await;
-                self.install_watched(&value);
+                self.install_watched(&value, era);
                 tokio::time::sleep(TABLE_CHANGE_DELAY).await;
             }
         }
     }
 
-    fn install_watched(self: &Arc<Self>, value: &Value) {
-        match self.tables.decode_stored(value) {
+    fn install_watched(self: &Arc<Self>, value: &Value, era: u64) {
+        match self.tables.decode_stored(value, era) {
             Ok(table) if table.version > self.node.table.borrow().version => {
                 self.handle_event(Event::TableReceived(Arc::new(table)));
             }
@@ -199,7 +140,7 @@
                 }
                 continue;
             }
-            if let Some(value) = watch.next(&platform).await
+            if let Some((value, _)) = watch.next(&platform).await
                 && self.config.install_stored(&value)
             {
                 self.disseminate_config();
@@ -240,7 +181,7 @@
                 log::warn!("{e}");
                 self.bootstrap_from_peers().await;
             }
-            tokio::time::sleep(INITIAL_RETRY_DELAY).await;
+            tokio::time::sleep(LOAD_RETRY_DELAY).await;
         }
     }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -84,8 +84,13 @@
 /// Outcome of a conditional write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwapOutcome {
-    /// The write was applied; the key has this revision.
-    Applied(u64),
+    /// The write was applied.
+    Applied {
+        /// Era of the store.
+        era: u64,
+        /// Revision of the key.
+        revision: u64,
+    },
     /// The write was not applied: the key has this revision instead of the expected one.
     Conflict(u64),
     /// There was no usable response. The write may have been applied or may still be applied,
@@ -150,7 +155,7 @@
     pub async fn read(&self, key: &str) -> Result<ReadResult> {
         self.counts.add(CallKind::Get);
         match self.call(&Op::Get { key }).await? {
-            OpReply::Read(read) => Ok(read),
+            (OpReply::Read(read), _) => Ok(read),
             _ => Err(Error::Malformed("not the answer to a read")),
         }
     }
@@ -175,8 +180,8 @@
             lease,
         };
         match self.call(&op).await {
-            Ok(OpReply::Written(revision)) => SwapOutcome::Applied(revision),
-            Ok(OpReply::Conflict(revision)) => SwapOutcome::Conflict(revision),
+            Ok((OpReply::Written(revision), era)) => SwapOutcome::Applied { era, revision },
+            Ok((OpReply::Conflict(revision), _)) => SwapOutcome::Conflict(revision),
             Ok(_) => SwapOutcome::Unknown(Error::Malformed("not the answer to a write")),
             Err(e) => SwapOutcome::Unknown(e),
         }
@@ -205,7 +210,7 @@
             })
             .await?
         {
-            OpReply::Watched(watched) => Ok(watched),
+            (OpReply::Watched(watched), _) => Ok(watched),
             _ => Err(Error::Malformed("not the answer to a watch")),
         }
     }
@@ -218,7 +223,7 @@
     pub async fn lease_grant(&self, ttl: Duration) -> Result<String> {
         self.counts.add(CallKind::Lease);
         match self.call(&Op::LeaseGrant { ttl }).await? {
-            OpReply::LeaseGranted(id) => Ok(id),
+            (OpReply::LeaseGranted(id), _) => Ok(id),
             _ => Err(Error::Malformed("not the answer to a lease grant")),
         }
     }
@@ -244,12 +249,13 @@
     async fn lease_call(&self, op: &Op<'_>) -> Result<bool> {
         self.counts.add(CallKind::Lease);
         match self.call(op).await? {
-            OpReply::LeaseExisted(existed) => Ok(existed),
+            (OpReply::LeaseExisted(existed), _) => Ok(existed),
             _ => Err(Error::Malformed("not the answer about a lease")),
         }
     }
 
-    async fn call(&self, op: &Op<'_>) -> Result<OpReply> {
+    /// Makes a call and returns the reply with the era of the store.
+    async fn call(&self, op: &Op<'_>) -> Result<(OpReply, u64)> {
         let timeout = match op {
             Op::Watch { wait, .. } => *wait + self.settings.timeout,
             _ => self.settings.timeout,
@@ -263,7 +269,8 @@
             *newest = (*newest).max(era);
             is_newer
         });
-        (self.settings.binding.decode)(op, &response)
+        let reply = (self.settings.binding.decode)(op, &response)?;
+        Ok((reply, era))
     }
 
     async fn exchange(&self, request: HttpRequest) -> Result<HttpResponse> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -178,10 +178,20 @@
 pub enum StoreReply {
     /// The member cannot reach the store either. Nothing was written.
     Unavailable,
-    /// Revision and encoded table; `None` if there is no table yet.
-    Table(Option<(u64, Vec<u8>)>),
-    /// The write took effect under this revision.
-    Done(u64),
+    /// The store's reply to a read.
+    Table {
+        /// Era of the store.
+        era: u64,
+        /// Revision and encoded table; `None` if there is no table yet.
+        value: Option<(u64, Vec<u8>)>,
+    },
+    /// The write took effect.
+    Done {
+        /// Era of the store.
+        era: u64,
+        /// Revision of the key.
+        revision: u64,
+    },
     /// The key has this revision; the write did not take effect.
     Conflict(u64),
     /// The store did not reply: the write may have taken effect, or may still do so.
