--- /dev/null
+++ b/crates/daemon/src/control/restoration.rs
@@ -0,0 +1,54 @@
+//! Collects the tables of all daemons, and writes the restored table, after the platform's store came
+//! back from an older copy.
+
+use std::sync::Arc;
+
+use futures_util::future::join_all;
+use masticdeal_ownership::ids::ChangeId;
+use masticdeal_ownership::lease::{Event, Outcome};
+use masticdeal_ownership::table::Table;
+use masticdeal_wire::peer::Update;
+
+use super::Control;
+use super::table_store::SwapResult;
+
+impl Control {
+    /// Pulls updates from every other session in the table and reports the end of the collection to
+    /// the lease core. `version` identifies the collection.
+    pub(super) async fn collect_tables(self: Arc<Self>, version: u64) {
+        let me = self.session();
+        let table = self.node.table.borrow().clone();
+        let others = table.sessions.iter().map(|s| s.id);
+        let others = others.filter(|id| Some(*id) != me);
+        let replied = join_all(others.map(|session| self.pull_and_apply(session))).await;
+        let all_replied = replied.iter().all(|replied| *replied);
+        log::info!(table = version, sessions = replied.len(), all_replied;
+            "collected the tables of other daemons");
+        self.handle_event(Event::TablesCollected {
+            version,
+            all_replied,
+        });
+    }
+
+    /// Writes the restored table and disseminates it.
+    pub(super) async fn restore_table(
+        self: Arc<Self>,
+        (change_id, stored_version, next): (ChangeId, u64, Arc<Table>),
+    ) {
+        let outcome = match self.tables.restore(&next, stored_version).await {
+            SwapResult::Done => Outcome::Done,
+            SwapResult::Conflict(_) => Outcome::Conflict,
+            SwapResult::Unknown => Outcome::Unknown,
+        };
+        log::info!(era = next.era, table = next.version, stored = stored_version, outcome:?;
+            "wrote the table back to the restored platform store");
+        self.handle_event(Event::SwapOutcome { change_id, outcome });
+        if outcome == Outcome::Done {
+            self.disseminate(Update {
+                origin: self.session(),
+                table: Some((*next).clone()),
+                ..Update::default()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/lease/restoration.rs
@@ -0,0 +1,192 @@
+//! Writes the table back after the platform store came back from an older copy.
+//!
+//! From the first sign of a new era of the store until a table of that era is installed, this
+//! process starts no other swap. It collects the tables of all sessions, so that every version on
+//! which a reachable daemon may have acted is known, and writes the newest one.
+//!
+//! A daemon that did not reply may serve shards under a version that nobody else knows. Its lease
+//! ends within a lease unless a lessor renews it, and a reachable lessor knows the version. So the
+//! write waits until all sessions have replied or a lease has passed. A process that has not joined
+//! may miss sessions in its table and always waits for the lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::api::Effect;
+use super::core::Core;
+use super::lessee::lessor_lease_length;
+use crate::ids::ChangeId;
+use crate::restoration::restored_table;
+use crate::table::Table;
+
+/// Delay before the restoration per session with a lower id. Usually the first session has written
+/// the table before the next one starts.
+const STAGGER: Duration = Duration::from_millis(50);
+
+/// Time after which a collection or a write without a result is repeated.
+const RESULT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Restoration in progress.
+#[derive(Debug)]
+pub(super) struct Restoration {
+    /// Era of the store that the table has not been written in.
+    era: u64,
+    /// When this process learned of the era.
+    since: Duration,
+    /// Version of the copy of the table in the store, once it was read in this era.
+    stored_version: Option<u64>,
+    /// Last completed collection: the version of the own table at its start, and whether all
+    /// sessions replied.
+    collected: Option<(u64, bool)>,
+    /// End of the pause before the next collection or write.
+    not_before: Duration,
+    /// The write in progress.
+    write: Option<(ChangeId, Arc<Table>)>,
+}
+
+impl Core {
+    /// Records an era of the store that a reply or a table showed.
+    pub(super) fn record_store_era(&mut self, now: Duration, era: u64) {
+        if era <= self.store_era {
+            return;
+        }
+        self.store_era = era;
+        if self.table.era < era {
+            self.restoration = Some(Restoration {
+                era,
+                since: now,
+                stored_version: None,
+                collected: None,
+                not_before: now,
+                write: None,
+            });
+        }
+    }
+
+    /// Ends the restoration once a table of the newest era is installed.
+    pub(super) fn finish_restoration(&mut self) {
+        if self.table.era >= self.store_era {
+            self.store_era = self.table.era;
+            self.restoration = None;
+        }
+    }
+
+    /// Records the version of the stored table, read in `store_era`.
+    pub(super) fn record_stored_version(&mut self, now: Duration, store_era: u64, table: &Table) {
+        if let Some(restoration) = &mut self.restoration
+            && restoration.era == store_era
+        {
+            restoration.stored_version = Some(table.version);
+            restoration.not_before = now;
+        }
+    }
+
+    pub(super) fn record_collection(&mut self, now: Duration, version: u64, all_replied: bool) {
+        if let Some(restoration) = &mut self.restoration {
+            restoration.collected = Some((version, all_replied));
+            restoration.not_before = match all_replied {
+                true => now,
+                false => now + self.settings.renew_interval,
+            };
+        }
+    }
+
+    /// Handles the outcome of the write of a restored table. Returns whether the change is that
+    /// write.
+    pub(super) fn handle_restoration_outcome(
+        &mut self,
+        now: Duration,
+        change: ChangeId,
+        done: bool,
+    ) -> bool {
+        let Some(restoration) = &mut self.restoration else {
+            return false;
+        };
+        let Some((_, next)) = restoration.write.take_if(|(id, _)| *id == change) else {
+            return false;
+        };
+        if done {
+            self.writer.record_write(now, next.version);
+            self.install_table(now, next, None);
+        } else {
+            // Another daemon may have written the table, or this write may still take effect.
+            restoration.stored_version = None;
+            restoration.not_before = now + self.settings.renew_interval / 3;
+        }
+        true
+    }
+
+    /// Takes the next step of the restoration. Returns whether a restoration is in progress.
+    pub(super) fn advance_restoration(&mut self, now: Duration) -> bool {
+        let Some(due_at) = self.restoration_due_at() else {
+            return false;
+        };
+        // A session that is ending does not write the table back, because it may have ended under
+        // a version that only others know.
+        if now < due_at || self.writer.is_ending() {
+            return true;
+        }
+        let lease_passed = self.lease_passed_at().is_some_and(|at| now >= at);
+        let is_member = self.session.is_some();
+        let Some(restoration) = &mut self.restoration else {
+            return false;
+        };
+        let Some(stored_version) = restoration.stored_version else {
+            restoration.not_before = now + RESULT_TIMEOUT;
+            self.effects.extend(self.writer.start_read(now));
+            return true;
+        };
+        let collected = restoration.collected;
+        let all_replied = collected == Some((self.table.version, true)) && is_member;
+        let is_newest = collected.is_some_and(|(version, _)| version == self.table.version);
+        restoration.not_before = now + RESULT_TIMEOUT;
+        if all_replied || (lease_passed && is_newest) {
+            self.write_restored_table(now, stored_version);
+        } else {
+            self.effects.push(Effect::CollectTables {
+                version: self.table.version,
+            });
+        }
+        true
+    }
+
+    fn write_restored_table(&mut self, now: Duration, stored_version: u64) {
+        // A pending swap is based on a version that the store may have lost. If it took effect, the
+        // collected table contains it.
+        if let Some(pending) = self.writer.take_pending() {
+            self.lessee.next_lessors = None;
+            self.finish_swap(now, false, pending);
+        }
+        let change_id = self.writer.change_id();
+        let next = restored_table(&self.table, stored_version, self.store_era, change_id);
+        let next = Arc::new(next);
+        if let Some(restoration) = &mut self.restoration {
+            restoration.write = Some((change_id, next.clone()));
+        }
+        self.effects.push(Effect::RestoreTable {
+            change_id,
+            stored_version,
+            next,
+        });
+    }
+
+    /// Returns when the next step of the restoration is due; `None` without a restoration.
+    pub(super) fn restoration_due_at(&self) -> Option<Duration> {
+        let restoration = self.restoration.as_ref()?;
+        let lower = |me| {
+            self.table
+                .sessions
+                .iter()
+                .filter(move |s| s.id < me)
+                .count()
+        };
+        let stagger = STAGGER * self.session.map_or(0, lower) as u32;
+        let start_at = restoration.since + stagger;
+        Some(restoration.not_before.max(start_at))
+    }
+
+    fn lease_passed_at(&self) -> Option<Duration> {
+        let since = self.restoration.as_ref()?.since;
+        Some(since + lessor_lease_length(&self.settings))
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/restoration.rs
@@ -0,0 +1,36 @@
+//! The assignment table after the platform store came back from an older copy.
+//!
+//! The store may have lost versions of the table that daemons have acted on, and the copy would
+//! give out their versions, session ids, terms and epochs again. So the newest table that the
+//! daemons know is written back with all of these counters raised by more than the store can have
+//! lost.
+
+use crate::ids::{ChangeId, Epoch};
+use crate::table::Table;
+
+/// Added to the counters of the table. At one swap per millisecond, the store would have to lose
+/// more than a minute to reach it.
+const COUNTER_GAP: u32 = 1 << 16;
+
+/// Returns the table to write in a new era of the store. `newest` is the newest table known, and
+/// `stored_version` the version of the copy in the store.
+pub fn restored_table(newest: &Table, stored_version: u64, era: u64, change: ChangeId) -> Table {
+    let mut table = newest.clone();
+    table.era = era;
+    table.version = newest.version.max(stored_version) + u64::from(COUNTER_GAP);
+    table.next_session += COUNTER_GAP;
+    for session in &mut table.sessions {
+        // Lessors count a full lease from the first sight of a new term, so no session ends early
+        // because a renewal of a lost term is missing.
+        session.term += COUNTER_GAP;
+    }
+    let epoch = Epoch(table.version as u32);
+    for service in &mut table.services {
+        let overrides = service.overrides.iter_mut().map(|o| &mut o.assignment);
+        for shard in service.shards.iter_mut().chain(overrides) {
+            shard.epoch = epoch;
+        }
+    }
+    table.record_change(change);
+    table
+}
