Write the newest table back when the platform store lost it

After the store came back from an older copy, the table in it was older than the one on which the daemons had acted.

Cause: the table in the store was taken for the newest one, and its counters for never given out. The class of fault: an acknowledged write was taken to last, whatever the store's history.

Change: the table records the era of the store in which it was written. When a reply shows a newer era, swaps pause. A member pulls the tables of all sessions, waits until all have replied or a lease has passed, and writes the newest one with version, session ids, terms and epochs raised by a gap, so that nothing is given out twice. A process that has not joined waits for the lease first, since it may not know all sessions. Members start one after the other, so that usually one collects and writes. A stored table of era 0 is encoded as before.

--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -98,13 +98,20 @@
 
     /// Pulls and applies an update from one session.
     pub(super) async fn pull_from(self: Arc<Self>, from: SessionId) {
+        self.pull_and_apply(from).await;
+    }
+
+    /// Pulls and applies an update from one session. Returns whether the session replied.
+    pub(super) async fn pull_and_apply(self: &Arc<Self>, from: SessionId) -> bool {
         let pull = Pull {
             versions: self.node.versions(),
         };
         let update: Option<Update> = self.call(from, PATH_PULL, &pull, PEER_CALL_TIMEOUT).await;
+        let replied = update.is_some();
         if let Some(update) = update {
             self.apply_update(update);
         }
+        replied
     }
 
     /// Pulls table and configuration from peers when the daemon starts while the platform's store
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -196,6 +196,12 @@
             Effect::SendRenew(renewal) => self.spawn(Self::renew, renewal),
             Effect::SendExpired(expiry) => self.spawn(Self::query_expired, expiry),
             Effect::Swap { delta, next } => self.spawn(Self::swap, (delta, next)),
+            Effect::CollectTables { version } => self.spawn(Self::collect_tables, version),
+            Effect::RestoreTable {
+                change_id,
+                stored_version,
+                next,
+            } => self.spawn(Self::restore_table, (change_id, stored_version, next)),
             Effect::ReadTable { read } => self.spawn(Self::read_table, read),
             Effect::SendJoin { to, request } => self.spawn(Self::request_join, (to, request)),
             Effect::Pull { from } => self.spawn(Self::pull_from, from),
@@ -352,16 +358,17 @@
         self.startup_wait
             .get_or_init(|| self.await_config_and_target())
             .await;
-        let table = match self.tables.read().await {
-            Ok(table) => Some(Arc::new(table)),
+        let (table, store_era) = match self.tables.read().await {
+            Ok((table, era)) => (Some(Arc::new(table)), era),
             Err(e) => {
                 log::warn!("cannot read the assignment table: {e}");
-                None
+                (None, 0)
             }
         };
         self.handle_event(Event::TableRead {
             read: read_id,
             table,
+            store_era,
         });
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 //! - [`key_watch`]: the watch of one key.
 //! - [`grants`]: refreshes the target's grant and revokes it before a move.
 //! - [`move_reasons`]: reasons of moves, for the journals.
+//! - [`restoration`]: collects and writes the table after the store came back from an older copy.
 //! - [`reports`]: replies to target reports with grants.
 //! - [`target`]: passes the state of the local target to the lease core.
 //! - [`load_collection`]: collects load and versions from all daemons.
@@ -34,6 +35,7 @@
 pub mod port;
 pub mod relay;
 pub mod reports;
+pub mod restoration;
 pub mod table_store;
 pub mod target;
 pub mod watcher;
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -88,21 +88,23 @@
         self.stored.lock().unwrap().map(|s| s.position)
     }
 
-    /// Reads the table. Returns an empty table of version 0 when none is stored yet.
+    /// Reads the table and the era of the store. Returns an empty table of version 0 when none is
+    /// stored.
     ///
     /// # Errors
     ///
     /// Any [`Error`].
-    pub async fn read(&self) -> Result<Table> {
+    pub async fn read(&self) -> Result<(Table, u64)> {
         let read = self.relay.read().await.map_err(Error::Unavailable)?;
         self.record_reply();
-        match read.value {
-            Some(value) => self.decode_stored(&value, read.era),
+        let table = match read.value {
+            Some(value) => self.decode_stored(&value, read.era)?,
             None => {
                 self.record_stored(0, Position::new(read.era, 0));
-                Ok(Table::default())
+                Table::default()
             }
-        }
+        };
+        Ok((table, read.era))
     }
 
     /// Returns the relay, which also serves calls on behalf of other members.
@@ -126,8 +128,22 @@
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
         let Some(revision) = self.revision_of(base).await else {
-            return SwapResult::Conflict(self.read().await.ok());
+            return SwapResult::Conflict(self.read_table().await);
         };
+        self.write(revision, next).await
+    }
+
+    /// Replaces the table by `next` in the era of `next` if the stored version is `stored_version`.
+    pub async fn restore(&self, next: &Table, stored_version: u64) -> SwapResult {
+        let stored = *self.stored.lock().unwrap();
+        let stored = stored.filter(|s| s.version == stored_version && s.position.era == next.era);
+        match stored {
+            Some(stored) => self.write(stored.position.revision, next).await,
+            None => SwapResult::Conflict(None),
+        }
+    }
+
+    async fn write(&self, expected_revision: u64, next: &Table) -> SwapResult {
         let bytes = match table::encode(next) {
             Ok(bytes) => Bytes::from(bytes),
             Err(e) => {
@@ -135,17 +151,22 @@
                 return SwapResult::Conflict(None);
             }
         };
-        match self.relay.swap(revision, bytes).await {
+        match self.relay.swap(expected_revision, bytes).await {
             StoreReply::Done { era, revision } => {
                 self.record_reply();
                 self.record_stored(next.version, Position::new(era, revision));
                 SwapResult::Done
             }
-            StoreReply::Conflict(_) => SwapResult::Conflict(self.read().await.ok()),
+            StoreReply::Conflict(_) => SwapResult::Conflict(self.read_table().await),
             _ => SwapResult::Unknown,
         }
     }
 
+    async fn read_table(&self) -> Option<Table> {
+        let (table, _) = self.read().await.ok()?;
+        Some(table)
+    }
+
     /// Returns the platform's revision of a version of the table. Returns `None` when the stored
     /// table has another version or cannot be read.
     async fn revision_of(&self, version: u64) -> Option<u64> {
@@ -156,7 +177,7 @@
         {
             return Some(stored.position.revision);
         }
-        let table = self.read().await.ok()?;
+        let table = self.read_table().await?;
         let stored = (*self.stored.lock().unwrap())?;
         (table.version == version).then_some(stored.position.revision)
     }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -148,12 +148,13 @@
         }
     }
 
-    /// Logs changes of the store's era, until the task is dropped.
+    /// Passes changes of the store's era to the lease core, until the task is dropped.
     pub async fn follow_store_era(self: Arc<Self>, platform: Client) {
         let mut era_rx = platform.era();
         while era_rx.changed().await.is_ok() {
             let era = *era_rx.borrow_and_update();
             log::info!(era, table = self.node.versions().table; "era of the platform store changed");
+            self.handle_event(Event::StoreEra(era));
         }
     }
 
--- a/crates/ownership/examples/slopes.rs
+++ b/crates/ownership/examples/slopes.rs
@@ -100,7 +100,14 @@
     };
     core.handle(Duration::ZERO, Event::TargetChanged(Some(report)));
     let table = Some(Arc::new(base.clone()));
-    let effects = core.handle(Duration::ZERO, Event::TableRead { read: 1, table });
+    let effects = core.handle(
+        Duration::ZERO,
+        Event::TableRead {
+            read: 1,
+            table,
+            store_era: 0,
+        },
+    );
     let swap = effects.into_iter().find_map(|e| match e {
         Effect::Swap { delta, .. } => Some(delta.change_id),
         _ => None,
--- a/crates/ownership/src/apply.rs
+++ b/crates/ownership/src/apply.rs
@@ -87,6 +87,11 @@
     /// Increments the version and records the change id. Call it once, after the changes of a swap.
     pub(crate) fn commit_version(&mut self, change_id: ChangeId) {
         self.version += 1;
+        self.record_change(change_id);
+    }
+
+    /// Adds the id of a change that the table contains.
+    pub(crate) fn record_change(&mut self, change_id: ChangeId) {
         if self.recent_changes.len() >= MAX_RECENT_CHANGES {
             self.recent_changes.remove(0);
         }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -15,6 +15,7 @@
 mod lessor;
 mod proposal;
 mod releases;
+mod restoration;
 mod schedule;
 mod unreachable;
 mod writer;
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -239,6 +239,17 @@
         read: u64,
         /// The table; `None` if the platform store did not reply.
         table: Option<Arc<Table>>,
+        /// Era of the store that replied; 0 if it did not reply.
+        store_era: u64,
+    },
+    /// A reply to another call showed this era of the platform store.
+    StoreEra(u64),
+    /// The tables requested by [`Effect::CollectTables`] were delivered.
+    TablesCollected {
+        /// The version in the effect.
+        version: u64,
+        /// Whether all other sessions in the table of that version replied.
+        all_replied: bool,
     },
     /// A whole table arrived from a peer or a watch.
     TableReceived(Arc<Table>),
@@ -376,6 +387,23 @@
         /// The table with the change applied.
         next: Arc<Table>,
     },
+    /// Pull the table from every other session, deliver the newer ones, then report
+    /// [`Event::TablesCollected`].
+    CollectTables {
+        /// Version of the own table.
+        version: u64,
+    },
+    /// Replace the table in the platform store, which came back from an older copy, by `next`.
+    /// Write it on condition that the store still has the revision under which `stored_version`
+    /// was read in the era of `next`, and report [`Event::SwapOutcome`].
+    RestoreTable {
+        /// Id of the change.
+        change_id: ChangeId,
+        /// Version of the table in the store.
+        stored_version: u64,
+        /// The table to write.
+        next: Arc<Table>,
+    },
     /// Read the table from the platform store, then report [`Event::TableRead`].
     ReadTable {
         /// Number of the read.
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -11,6 +11,7 @@
 use super::lessee::Lessee;
 use super::lessor::Lessees;
 use super::releases::{KeyRelease, ReleasePurpose, Releases};
+use super::restoration::Restoration;
 use super::unreachable::DataCentreReachability;
 use super::writer::Writer;
 use crate::chart::{SESSION_CHART, StateMachine};
@@ -79,6 +80,10 @@
     pub(super) lessor_change_not_before: Duration,
     /// For each service, the time at which a table with a ready target of it was first installed.
     pub(super) gathering_since: BTreeMap<ServiceId, Duration>,
+    /// Newest era of the platform store that a reply or a table showed.
+    pub(super) store_era: u64,
+    /// Restoration of the table, while no table of that era is installed.
+    pub(super) restoration: Option<Restoration>,
     pub(super) effects: Vec<Effect>,
     /// Time of the last event. Event times are clamped to it, so that time never runs backwards.
     last_event_at: Duration,
@@ -117,6 +122,8 @@
             better_lessors_exist: false,
             lessor_change_not_before: Duration::ZERO,
             gathering_since: BTreeMap::new(),
+            store_era: 0,
+            restoration: None,
             effects: Vec::new(),
             last_event_at: Duration::ZERO,
         }
@@ -158,12 +165,24 @@
     fn dispatch(&mut self, now: Duration, event: Event) {
         match event {
             Event::Tick => {}
-            Event::TableRead { read, table } => self.handle_table_read(now, read, table),
+            Event::TableRead {
+                read,
+                table,
+                store_era,
+            } => self.handle_table_read(now, read, table, store_era),
+            Event::StoreEra(era) => self.record_store_era(now, era),
+            Event::TablesCollected {
+                version,
+                all_replied,
+            } => self.record_collection(now, version, all_replied),
             Event::TableReceived(table) => self.install_table(now, table, None),
             Event::DeltasReceived(deltas) => self.apply_deltas(now, &deltas),
             Event::SwapOutcome { change_id, outcome } => {
+                let done = outcome == Outcome::Done;
                 let current = self.writer.pending.as_ref().map(|p| p.delta.change_id);
-                if current == Some(change_id) {
+                if !self.handle_restoration_outcome(now, change_id, done)
+                    && current == Some(change_id)
+                {
                     self.handle_swap_outcome(now, outcome);
                 }
             }
--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -141,6 +141,11 @@
             Some(_) => None,
             None => due.filter(|_| !reading),
         };
+        let swap = match &self.restoration {
+            Some(_) if self.writer.is_ending() => None,
+            Some(_) => self.restoration_due_at(),
+            None => swap,
+        };
         let queries = self.lessees.next_query_at(&self.settings);
         let queries = queries.map(|at| at.max(not_before)).filter(|_| !reading);
         let self_renewal = self.self_renewal_read_at();
--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -20,13 +20,16 @@
         now: Duration,
         read: u64,
         table: Option<Arc<Table>>,
+        store_era: u64,
     ) {
+        self.record_store_era(now, store_era);
         let version = table.as_ref().map(|t| t.version);
         if !self.writer.finish_read(now, read, version, &self.settings) {
             return;
         }
         if let Some(table) = table {
             self.has_table = true;
+            self.record_stored_version(now, store_era, &table);
             self.install_table(now, table, None);
             self.extend_lease_by_read(now);
         }
@@ -88,6 +91,8 @@
         }
         let old = std::mem::replace(&mut self.table, table.clone());
         self.has_table = true;
+        self.record_store_era(now, table.era);
+        self.finish_restoration();
         self.installed_at = now;
         self.jitter_fraction = self.writer.jitter(Duration::from_secs(1)).as_secs_f64();
         let resolution = self.writer.resolve(&table);
@@ -149,7 +154,12 @@
 
     /// Updates the session and the lease after the outcome of a swap became known, and logs the
     /// decisions of a swap that took effect.
-    fn finish_swap(&mut self, now: Duration, done: bool, pending: super::writer::PendingSwap) {
+    pub(super) fn finish_swap(
+        &mut self,
+        now: Duration,
+        done: bool,
+        pending: super::writer::PendingSwap,
+    ) {
         if !done {
             if matches!(self.session_chart.state(), "joining" | "withdrawing") {
                 self.step_session("swap.lost");
--- a/crates/ownership/src/lease/schedule.rs
+++ b/crates/ownership/src/lease/schedule.rs
@@ -38,6 +38,9 @@
         self.send_expiry_queries(now);
         self.read_for_self_renewal(now);
         self.cancel_unwritten_moves(now);
+        if self.advance_restoration(now) {
+            return;
+        }
         let is_due = self.swap_due_at().is_some_and(|at| at <= now);
         if self.writer.pending.is_some() || !is_due || now < self.writer.not_before {
             return;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -7,7 +7,8 @@
 //! - at most one session may serve a shard,
 //! - a session serves only while its lease is valid,
 //! - the version of the table never decreases,
-//! - no two assignments of a shard have the same epoch.
+//! - no two assignments of a shard have the same epoch, also after the platform store came back from
+//!   an older copy.
 
 pub mod apply;
 pub mod assignment;
@@ -22,5 +23,6 @@
 pub mod lessor_selection;
 pub mod pending_moves;
 pub mod planner;
+pub mod restoration;
 pub mod sketch;
 pub mod table;
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use displaydoc::Display;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, TableVersion, shard_of};
@@ -45,6 +46,9 @@
     pub services: Vec<Service>,
     /// The last [`MAX_RECENT_CHANGES`] change ids, oldest first.
     pub recent_changes: Vec<ChangeId>,
+    /// Era of the platform store in which the table was last written: the number of times that the
+    /// store had come back from an older copy.
+    pub era: u64,
 }
 
 /// The session of one daemon process.
@@ -174,6 +178,20 @@
 
 impl std::error::Error for CodecError {}
 
+/// First byte of a stored table with an era, followed by the era and the other fields. A table of
+/// era 0 has neither. No integer starts with this byte, and a table of era 0 starts with one.
+const ERA_MARKER: u8 = 255;
+
+/// Fields of a stored table that follow the era.
+#[derive(Serialize)]
+struct StoredFields<'a> {
+    version: u64,
+    next_session: u32,
+    sessions: &'a [Session],
+    services: &'a [Service],
+    recent_changes: &'a [ChangeId],
+}
+
 /// Encodes a table as bincode with the standard configuration.
 ///
 /// # Errors
@@ -181,8 +199,19 @@
 /// [`CodecError::TooLarge`] above [`MAX_TABLE_BYTES`]; [`CodecError::Malformed`] if the table
 /// cannot be serialized.
 pub fn encode(table: &Table) -> Result<Vec<u8>, CodecError> {
-    let bytes = bincode::serde::encode_to_vec(table, bincode::config::standard())
-        .map_err(|e| CodecError::Malformed(e.to_string()))?;
+    let config = bincode::config::standard();
+    let fields = StoredFields {
+        version: table.version,
+        next_session: table.next_session,
+        sessions: &table.sessions,
+        services: &table.services,
+        recent_changes: &table.recent_changes,
+    };
+    let encoded = match table.era {
+        0 => bincode::serde::encode_to_vec(&fields, config),
+        era => bincode::serde::encode_to_vec((ERA_MARKER, era, &fields), config),
+    };
+    let bytes = encoded.map_err(|e| CodecError::Malformed(e.to_string()))?;
     if bytes.len() > MAX_TABLE_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
@@ -199,12 +228,32 @@
     if bytes.len() > MAX_TABLE_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
+    let (era, fields) = match bytes.split_first() {
+        Some((&ERA_MARKER, rest)) => {
+            let (era, used) = decode_prefix(rest)?;
+            (era, &rest[used..])
+        }
+        _ => (0, bytes),
+    };
+    let ((version, next_session, sessions, services, recent_changes), used) =
+        decode_prefix(fields)?;
+    if used != fields.len() {
+        return Err(CodecError::TrailingBytes(fields.len() - used));
+    }
+    Ok(Table {
+        version,
+        next_session,
+        sessions,
+        services,
+        recent_changes,
+        era,
+    })
+}
+
+/// Decodes a value from the start of the input. Returns it with the number of bytes used.
+fn decode_prefix<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, usize), CodecError> {
     // The limit bounds the allocations that a forged length field can cause.
     let config = bincode::config::standard().with_limit::<MAX_TABLE_BYTES>();
-    let (table, used) = bincode::serde::decode_from_slice(bytes, config)
-        .map_err(|e| CodecError::Malformed(e.to_string()))?;
-    if used != bytes.len() {
-        return Err(CodecError::TrailingBytes(bytes.len() - used));
-    }
-    Ok(table)
+    bincode::serde::decode_from_slice(bytes, config)
+        .map_err(|e| CodecError::Malformed(e.to_string()))
 }
--- a/crates/ownership/tests/sim/platform.rs
+++ b/crates/ownership/tests/sim/platform.rs
@@ -91,7 +91,11 @@
             CallKind::Read(read) => {
                 self.platform.reads += 1;
                 let table = Some(self.platform.table.clone());
-                Event::TableRead { read, table }
+                Event::TableRead {
+                    read,
+                    table,
+                    store_era: 0,
+                }
             }
             CallKind::Swap(change_id, next) => {
                 let outcome = self.swap(next);
@@ -160,6 +164,7 @@
         CallKind::Read(read) => Event::TableRead {
             read: *read,
             table: None,
+            store_era: 0,
         },
         CallKind::Swap(change_id, _) => Event::SwapOutcome {
             change_id: *change_id,
--- a/crates/ownership/tests/sim/vm.rs
+++ b/crates/ownership/tests/sim/vm.rs
@@ -319,6 +319,9 @@
             Effect::GrantsChanged => {
                 self.send_grants(index);
             }
+            Effect::CollectTables { .. } | Effect::RestoreTable { .. } => {
+                unreachable!("the simulated store never loses writes")
+            }
             Effect::Ended(_) => self.vms[index].sessions_ended += 1,
             Effect::LogDecision(_) | Effect::Joined(_) => {}
         }
--- a/crates/ownership/tests/swap_conflicts.rs
+++ b/crates/ownership/tests/swap_conflicts.rs
@@ -100,7 +100,11 @@
                 Some(Effect::Swap { delta, next }) => return (delta, next),
                 Some(Effect::ReadTable { read }) => {
                     let table = Some(self.stored_table.clone());
-                    self.handle_event(Event::TableRead { read, table });
+                    self.handle_event(Event::TableRead {
+                        read,
+                        table,
+                        store_era: 0,
+                    });
                 }
                 Some(_) => {}
                 None => {
--- a/crates/ownership/tests/table.rs
+++ b/crates/ownership/tests/table.rs
@@ -282,6 +282,24 @@
     expect_that!(table::decode(&huge), err(eq(&CodecError::TooLarge(size))));
 }
 
+/// Guards against a restored table whose era is lost, and against a table of an earlier release that
+/// is rejected because it has no era.
+#[googletest::test]
+fn codec_keeps_the_era_and_rejects_cut_tables() {
+    let table = fleet(20, 1024);
+    let without_era = table::encode(&table).expect("table encodes");
+    let restored = Table { era: 3, ..table };
+    let bytes = table::encode(&restored).expect("table encodes");
+    expect_that!(&bytes[2..], eq(&without_era[..]));
+    expect_that!(table::decode(&bytes), ok(eq(&restored)));
+    for cut in [1, 2, 3, bytes.len() / 2, bytes.len() - 1] {
+        expect_that!(table::decode(&bytes[..cut]), err(anything()));
+    }
+    let longer = [&bytes[..], &[0]].concat();
+    let trailing = CodecError::TrailingBytes(1);
+    expect_that!(table::decode(&longer), err(eq(&trailing)));
+}
+
 /// Guards against a table near or above the platform's size limit at the maximum number of shards.
 #[googletest::test]
 fn largest_table_is_below_half_of_size_limit() {
--- a/crates/platform/src/binding.rs
+++ b/crates/platform/src/binding.rs
@@ -80,7 +80,8 @@
     pub value: Option<Value>,
     /// Revision after which the next watch continues.
     pub watch_revision: u64,
-    /// Era of the store that replied. Revisions of different eras are not comparable.
+    /// Era of the store that replied: the number of times that it had come back from an older copy.
+    /// Revisions of different eras are not comparable.
     pub era: u64,
 }
 
@@ -128,8 +129,8 @@
     /// Decodes the response to a call. A status that the format does not define is
     /// [`Error::Status`]; the outcome of a write is then unknown.
     pub decode: fn(&Op<'_>, &HttpResponse) -> Result<OpReply>,
-    /// Returns the era of the store from any response, also from a refusal. The era increases each
-    /// time the store comes back from an older copy. 0 if the format has none.
+    /// Returns the era of the store from any response, also from a refusal. 0 if the format has
+    /// none.
     pub era: fn(&HttpResponse) -> u64,
 }
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -71,6 +71,7 @@
         sessions: (0..sessions).map(session).collect(),
         services: (0..services).map(service).collect(),
         recent_changes: vec![ChangeId(u64::MAX); 128],
+        era: u64::MAX,
     }
 }
 
