Add a failing test of a shard granted to an incarnation that the table does not show

Cause: a joining process replaces its predecessor without a wait when the target's incarnation is above the one in the table (`target_restarted`), since such a target "holds none of these grants". But the core also grants shards before the table shows the new incarnation: shards that the table gives to this daemon between the target's restart and the write of the new target entry, for as long as the store does not answer this daemon. If the daemon restarts then, it ends the earlier session at once, and the shards go to other daemons while the target holds them.

--- /dev/null
+++ b/crates/ownership/tests/target_restarts.rs
@@ -0,0 +1,169 @@
+//! Tests what a daemon concludes from the target's incarnation in the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use masticdeal_ownership::change::{Change, Delta};
+use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::lease::{Core, CoreSettings, Effect, Event, Identity, TargetReport};
+use masticdeal_ownership::table::{Session, Table, TargetInfo, TargetState};
+
+const LEASE: Duration = Duration::from_secs(3);
+const SERVICE: ServiceId = ServiceId(0);
+const SHARD: ShardId = ShardId(0);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns the core of a process on the VM `vm-0`.
+fn core(incarnation: u64, bound_at: Duration) -> Core {
+    let settings = CoreSettings {
+        lease: LEASE,
+        renew_interval: ms(300),
+        ..CoreSettings::default()
+    };
+    let own = session(0, incarnation, &[]);
+    let identity = Identity {
+        incarnation,
+        vm: own.vm,
+        address: own.address,
+        region: own.region,
+        data_centre: own.data_centre,
+        bound_at,
+        seed: incarnation,
+    };
+    Core::new(settings, identity)
+}
+
+fn session(vm: u16, incarnation: u64, lessors: &[SessionId]) -> Session {
+    Session {
+        id: SessionId(0),
+        incarnation,
+        vm: format!("vm-{vm}"),
+        address: ([127, 0, 0, 1], 1000 + vm).into(),
+        region: "r".into(),
+        data_centre: format!("dc-{vm}"),
+        lessors: lessors.to_vec(),
+        term: 1,
+        target: Some(TargetInfo {
+            service: SERVICE,
+            slots: 6,
+            checks_grants: true,
+            state: TargetState::Ready,
+            capacity: 0,
+            incarnation: 1,
+        }),
+    }
+}
+
+fn target(incarnation: u64, state: TargetState) -> Event {
+    Event::TargetChanged(Some(TargetReport {
+        service: "search".into(),
+        slots: 6,
+        checks_grants: true,
+        state,
+        capacity: 0,
+        incarnation,
+    }))
+}
+
+fn delta(table: &Table, changes: Vec<Change>) -> Delta {
+    Delta {
+        to_version: table.version + 1,
+        change_id: ChangeId(table.version + 100),
+        changes,
+    }
+}
+
+fn apply(table: &Table, changes: Vec<Change>) -> Arc<Table> {
+    let next = table.apply(&delta(table, changes));
+    Arc::new(next.expect("changes apply"))
+}
+
+/// Returns a table in which another daemon owns the shard, and the sessions of that daemon and of
+/// the process `incarnation` on `vm-0`.
+fn table_of_two(incarnation: u64) -> (Arc<Table>, SessionId, SessionId) {
+    let declare = Change::DeclareService {
+        name: "search".into(),
+        shards: 1,
+    };
+    let table = apply(&Table::default(), vec![declare]);
+    let join = |session| vec![Change::Join { session }];
+    let table = apply(&table, join(session(1, 1_001, &[])));
+    let other = table.sessions[0].id;
+    let table = apply(&table, join(session(0, incarnation, &[other])));
+    let own = table.sessions[1].id;
+    let assign = Change::Assign {
+        service: SERVICE,
+        owner: other,
+        shards: vec![SHARD],
+    };
+    (apply(&table, vec![assign]), other, own)
+}
+
+/// Guards against a daemon that restarts twice or beside a restarted target and moves a shard that
+/// the new incarnation of the target holds, because the table still shows the earlier one.
+#[googletest::test]
+fn shard_granted_to_a_new_incarnation_does_not_move_before_the_grant_ends() {
+    let (table, other, own) = table_of_two(10);
+    let mut earlier = core(10, Duration::ZERO);
+    let mut effects = earlier.handle(ms(0), Event::TableReceived(table.clone()));
+    effects.extend(earlier.handle(ms(0), target(1, TargetState::Ready)));
+    for effect in effects {
+        if let Effect::SendRenew(renewal) = effect {
+            let reply = Event::RenewReply {
+                lessor: renewal.lessor,
+                sequence: renewal.sequence,
+                granted: true,
+                version: table.version,
+            };
+            earlier.handle(ms(1), reply);
+        }
+    }
+    // The target restarts, and the store does not answer this daemon. The shard moves to it.
+    earlier.handle(ms(2), target(2, TargetState::Ready));
+    let epoch = table.services[0].shards[0].epoch;
+    let move_here = Change::Move {
+        service: SERVICE,
+        shard: SHARD,
+        from: other,
+        epoch,
+        to: own,
+    };
+    let moved = delta(&table, vec![move_here.clone()]);
+    earlier.handle(ms(3), Event::DeltasReceived(vec![moved]));
+    let granted_until = earlier.grants(ms(4)).and_then(|grants| {
+        let is_granted = grants.shards.iter().any(|(shard, _)| *shard == SHARD);
+        is_granted.then_some(grants.until)
+    });
+    let stored_table = apply(&table, vec![move_here]);
+
+    let mut restarted = core(11, ms(100));
+    let mut now = ms(100);
+    let mut effects = restarted.handle(now, target(2, TargetState::Draining));
+    let moved_at = loop {
+        match effects.pop() {
+            Some(Effect::Swap { next, .. }) => {
+                let shard = next.services[0].shards[0];
+                expect_that!(shard.epoch, gt(Epoch(1)));
+                if shard.owner == Some(other) {
+                    break now;
+                }
+            }
+            Some(Effect::ReadTable { read }) => {
+                let table = Some(stored_table.clone());
+                effects.extend(restarted.handle(now, Event::TableRead { read, table }));
+            }
+            Some(_) => {}
+            None => {
+                now += ms(1);
+                assert_that!(now, lt(LEASE * 3), "the shard did not move");
+                effects.extend(restarted.handle(now, Event::Tick));
+            }
+        }
+    };
+    let granted_until = granted_until.unwrap_or_default();
+    expect_that!(moved_at, ge(granted_until), "the target holds the shard");
+}
