Raise the epoch of a moving shard when its target restarts

Cause: when a target restarts, each of its shards must get a higher epoch before it is granted again. A shard that was already being released for a move kept that purpose, and such a move may be cancelled while the platform store does not answer. The shard then returned to service under its old epoch.

Change: a release remembers that the target restarted, and is then not cancelled.

Evidence: shard_of_a_restarted_target_is_not_granted_again_under_its_old_epoch fails before (epoch 5 granted at 4 s) and passes now.

--- a/crates/ownership/src/lease/releases.rs
+++ b/crates/ownership/src/lease/releases.rs
@@ -32,6 +32,23 @@
     pub drained_at: Option<Duration>,
     /// Whether a planner may write the move. The owner must then not cancel it.
     pub planner_may_write: bool,
+    /// Whether the target restarted since the assignment, so that the shard must not return to
+    /// service under its epoch.
+    pub needs_new_epoch: bool,
+}
+
+impl Release {
+    /// Returns whether the owner may return the shard to service without a swap once it is drained.
+    fn is_cancellable(&self) -> bool {
+        let by_owner = matches!(
+            self.purpose,
+            ReleasePurpose::Move {
+                by: MoveWriter::Owner,
+                ..
+            }
+        );
+        by_owner && !self.planner_may_write && !self.needs_new_epoch
+    }
 }
 
 /// Release of one overridden key.
@@ -65,6 +82,7 @@
             // The planner is also notified of a release that was started for another purpose, and
             // may then write the move.
             existing.planner_may_write |= by_planner;
+            existing.needs_new_epoch |= purpose == ReleasePurpose::NewIncarnation;
             return false;
         }
         let release = Release {
@@ -73,6 +91,7 @@
             machine: StateMachine::new(&RELEASE_CHART),
             drained_at: None,
             planner_may_write: by_planner,
+            needs_new_epoch: purpose == ReleasePurpose::NewIncarnation,
         };
         self.shards.insert(shard_id, release);
         true
@@ -109,18 +128,8 @@
     pub fn cancel_own_moves(&mut self, latest_drain: Duration) -> bool {
         let count = self.shards.len();
         self.shards.retain(|_, release| {
-            let by_owner = matches!(
-                release.purpose,
-                ReleasePurpose::Move {
-                    by: MoveWriter::Owner,
-                    ..
-                }
-            );
             let is_due = release.drained_at.is_some_and(|at| at <= latest_drain);
-            !(by_owner
-                && is_due
-                && !release.planner_may_write
-                && release.machine.step("kept") == Ok("closed"))
+            !(release.is_cancellable() && is_due && release.machine.step("kept") == Ok("closed"))
         });
         self.shards.len() < count
     }
@@ -128,16 +137,9 @@
     /// Returns the earliest time at which a shard was drained whose move
     /// [`Releases::cancel_own_moves`] may cancel.
     pub fn earliest_cancellable_drain(&self) -> Option<Duration> {
-        let cancellable = self.shards.values().filter(|r| {
-            let by_owner = matches!(
-                r.purpose,
-                ReleasePurpose::Move {
-                    by: MoveWriter::Owner,
-                    ..
-                }
-            );
-            by_owner && !r.planner_may_write && r.machine.state() == "released"
-        });
+        let cancellable = self.shards.values();
+        let cancellable =
+            cancellable.filter(|r| r.is_cancellable() && r.machine.state() == "released");
         cancellable.filter_map(|r| r.drained_at).min()
     }
 
--- a/crates/ownership/tests/target_restarts.rs
+++ b/crates/ownership/tests/target_restarts.rs
@@ -6,7 +6,9 @@
 use googletest::prelude::*;
 use masticdeal_ownership::change::{Change, Delta};
 use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
-use masticdeal_ownership::lease::{Core, CoreSettings, Effect, Event, Identity, TargetReport};
+use masticdeal_ownership::lease::{
+    Core, CoreSettings, Effect, Event, HeldShard, Identity, MoveWriter, TargetReport,
+};
 use masticdeal_ownership::table::{Session, Table, TargetInfo, TargetState};
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -103,6 +105,69 @@
     (apply(&table, vec![assign]), other, own)
 }
 
+/// Guards against a new incarnation that is granted a shard under the epoch of the one before,
+/// because the shard was to move and the platform store does not answer.
+#[googletest::test]
+fn shard_of_a_restarted_target_is_not_granted_again_under_its_old_epoch() {
+    let (table, other, own) = table_of_two(10);
+    let epoch = table.services[0].shards[0].epoch;
+    let move_here = Change::Move {
+        service: SERVICE,
+        shard: SHARD,
+        from: other,
+        epoch,
+        to: own,
+    };
+    let table = apply(&table, vec![move_here]);
+    let held = HeldShard {
+        service: SERVICE,
+        shard: SHARD,
+        epoch: table.services[0].shards[0].epoch,
+    };
+    let mut owner = core(10, Duration::ZERO);
+    let mut now = LEASE;
+    let mut effects = owner.handle(now, target(1, TargetState::Ready));
+    effects.extend(owner.handle(now, Event::TableReceived(table.clone())));
+    let to_other = Event::MoveRequested {
+        held,
+        to: other,
+        by: MoveWriter::Owner,
+    };
+    effects.extend(owner.handle(now, to_other));
+    effects.extend(owner.handle(now, Event::ShardDrained(held)));
+    effects.extend(owner.handle(now, target(2, TargetState::Ready)));
+    while now < LEASE * 4 {
+        let Some(effect) = effects.pop() else {
+            now += ms(10);
+            effects.extend(owner.handle(now, Event::Tick));
+            let grants = owner.grants(now).map_or(Vec::new(), |g| g.shards);
+            assert_that!(grants, not(contains(eq(&(SHARD, held.epoch)))), "{now:?}");
+            continue;
+        };
+        match effect {
+            Effect::SendRenew(renewal) => {
+                let reply = Event::RenewReply {
+                    lessor: renewal.lessor,
+                    sequence: renewal.sequence,
+                    granted: true,
+                    version: table.version,
+                };
+                effects.extend(owner.handle(now, reply));
+            }
+            Effect::ReadTable { read } => {
+                let no_reply = Event::TableRead {
+                    read,
+                    table: None,
+                    store_era: 0,
+                };
+                effects.extend(owner.handle(now, no_reply));
+            }
+            _ => {}
+        }
+    }
+    expect_that!(owner.session(), some(eq(own)));
+}
+
 /// Guards against a daemon that restarts twice or beside a restarted target and moves a shard that
 /// the new incarnation of the target holds, because the table still shows the earlier one.
 #[googletest::test]
@@ -154,7 +219,14 @@
             }
             Some(Effect::ReadTable { read }) => {
                 let table = Some(stored_table.clone());
-                effects.extend(restarted.handle(now, Event::TableRead { read, table }));
+                effects.extend(restarted.handle(
+                    now,
+                    Event::TableRead {
+                        read,
+                        table,
+                        store_era: 0,
+                    },
+                ));
             }
             Some(_) => {}
             None => {
