Grant nothing to an incarnation of the target that the table does not show

Cause: a joining process ends the session of the earlier one without a wait if the target's incarnation is above the one in the table, since such a target holds none of its grants. The core granted shards to the new incarnation before the table showed it, if they were assigned to this daemon between the target's restart and the write of its entry. The class of fault is that of: no knowledge was taken for proof of absence. Ruled out: a wait at each join beside a restarted target, because it delays the usual restart by a lease, and callers with it.

Change: the core grants shards only to the incarnation that the table shows. Shards assigned before the target's restart were released until that write already, so only shards that arrive in between wait for it.

--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::api::{Grants, HeldShard, Refusal, Rule, override_shard};
+use super::api::{Grants, HeldShard, Refusal, Rule, TargetReport, override_shard};
 use super::core::Core;
 use crate::ids::{Epoch, ServiceId, SessionId, ShardId};
 use crate::table::Shard;
@@ -101,9 +101,16 @@
     /// Returns the shards and overridden keys that may be granted to the target; `None` without a
     /// target or a valid lease, and while a swap that ends the session is pending. The grant never
     /// outlives the lease (R10).
+    ///
+    /// An incarnation of the target that the table does not show gets no grant: the next process of
+    /// this daemon takes it for one without grants (R7).
     pub fn grants(&self, now: Duration) -> Option<Grants> {
         let session = self.session?;
         let target = self.table.session(session)?.target.as_ref()?;
+        let is_shown = |reported: &TargetReport| reported.incarnation == target.incarnation;
+        if !self.target.as_ref().is_none_or(is_shown) {
+            return None;
+        }
         if !self.lessee.has_valid_lease(now) || self.writer.is_ending() {
             return None;
         }
