Reject writes of an earlier era of the platform store

After the store came back from an older copy, it gives out revisions again. A write that is late, or that comes from a VM which has not noticed, could find the revision that it expects and replace the newest table by one of before the restore (ABA): daemons would act on a table with versions and epochs that were given out before, and could not write any more, because the stored table is older than theirs.

Cause: a swap named only the revision of the key, which is not unique across eras. Ruled out: the era in the reply alone, since a late write has no reader; a jump of the revision counter, since only the store raises it.

Change: a swap names the era in which its revision was read. A swap that was applied although its era had ended (before any write of the new one) is not reported as done, and a daemon that knows of a new era does not write a table of an earlier one.

--- a/crates/bench/tests/platform.rs
+++ b/crates/bench/tests/platform.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use masticdeal_bench::http1;
 use masticdeal_bench::platform::{Fault, Outage, Stats, serve};
-use masticdeal_platform::{Client, Settings, SwapOutcome};
+use masticdeal_platform::{Client, Position, Settings, SwapOutcome};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -57,14 +57,14 @@
     let platform = start_platform().await;
     let first = platform
         .client
-        .swap("a/b", 0, Bytes::from("one"), None)
+        .swap("a/b", Position::default(), Bytes::from("one"), None)
         .await;
     let SwapOutcome::Applied { revision, .. } = first else {
         panic!("first write: {first:?}")
     };
     let second = platform
         .client
-        .swap("a/b", 0, Bytes::from("two"), None)
+        .swap("a/b", Position::default(), Bytes::from("two"), None)
         .await;
     assert_that!(second, eq(&SwapOutcome::Conflict(revision)));
     let value = platform.client.get("a/b").await.unwrap().unwrap();
@@ -81,7 +81,10 @@
         ..Fault::default()
     };
     platform.set_faults(fault).await;
-    let written = platform.client.swap("k", 0, Bytes::from("v"), None).await;
+    let written = platform
+        .client
+        .swap("k", Position::default(), Bytes::from("v"), None)
+        .await;
     assert_that!(matches!(written, SwapOutcome::Unknown(_)), eq(true));
     let value = platform.client.get("k").await.unwrap().unwrap();
     assert_that!(value.bytes, eq(&Bytes::from("v")));
@@ -100,13 +103,13 @@
     platform.set_faults(fault).await;
     let late = platform
         .client
-        .swap("k", 0, Bytes::from("late"), None)
+        .swap("k", Position::default(), Bytes::from("late"), None)
         .await;
     assert_that!(matches!(late, SwapOutcome::Unknown(_)), eq(true));
     platform.set_faults(Fault::default()).await;
     let intervening = platform
         .client
-        .swap("k", 0, Bytes::from("between"), None)
+        .swap("k", Position::default(), Bytes::from("between"), None)
         .await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     let value = platform.client.get("k").await.unwrap().unwrap();
@@ -125,7 +128,7 @@
     let lease = platform.client.lease_grant(SECOND).await.unwrap();
     let leased = platform
         .client
-        .swap("k", 0, Bytes::from("v"), Some(&lease))
+        .swap("k", Position::default(), Bytes::from("v"), Some(&lease))
         .await;
     assert_that!(matches!(leased, SwapOutcome::Applied { .. }), eq(true));
     while platform.client.get("k").await.unwrap().is_some() {
@@ -137,7 +140,7 @@
     );
     let after_expiry = platform
         .client
-        .swap("k", 0, Bytes::from("v"), Some(&lease))
+        .swap("k", Position::default(), Bytes::from("v"), Some(&lease))
         .await;
     assert_that!(matches!(after_expiry, SwapOutcome::Unknown(_)), eq(true));
     assert_that!(platform.client.get("k").await.unwrap(), none());
@@ -153,7 +156,10 @@
     while platform.stats().await.watch == 0 {
         tokio::task::yield_now().await;
     }
-    platform.client.swap("k", 0, Bytes::from("v"), None).await;
+    platform
+        .client
+        .swap("k", Position::default(), Bytes::from("v"), None)
+        .await;
     let value = waiting.await.unwrap().unwrap().value.unwrap();
     assert_that!(value.bytes, eq(&Bytes::from("v")));
     let none_newer = platform
@@ -183,7 +189,10 @@
                 ..Fault::default()
             })
             .await;
-        let write = platform.client.swap("k", 0, Bytes::from("v"), None).await;
+        let write = platform
+            .client
+            .swap("k", Position::default(), Bytes::from("v"), None)
+            .await;
         assert_that!(matches!(write, SwapOutcome::Unknown(_)), eq(true));
         platform.set_faults(Fault::default()).await;
         assert_that!(waiting.await.unwrap(), err(anything()));
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -13,7 +13,7 @@
 use masticdeal_config::deployment::Deployment;
 use masticdeal_config::diff;
 use masticdeal_config::fault::Fault;
-use masticdeal_platform::{Client, SwapOutcome, Value};
+use masticdeal_platform::{Client, Position, SwapOutcome, Value};
 use masticdeal_wire::peer::ConfigValue;
 
 use crate::node::Node;
@@ -195,7 +195,7 @@
         };
         match self
             .platform
-            .swap(self.node.protocol.config.key, stored.revision, bytes, None)
+            .swap(self.node.protocol.config.key, stored.position, bytes, None)
             .await
         {
             SwapOutcome::Applied { .. } => {
@@ -210,21 +210,25 @@
     }
 
     async fn read(&self) -> Result<StoredConfig, String> {
-        let reply = self.platform.get(self.node.protocol.config.key).await;
-        match reply.map_err(|e| e.to_string())? {
-            None => Ok(StoredConfig::default()),
-            Some(Value { revision, bytes }) => Ok(StoredConfig {
-                revision,
-                value: (self.node.protocol.config.decode)(&bytes)?,
-            }),
-        }
+        let reply = self.platform.read(self.node.protocol.config.key).await;
+        let read = reply.map_err(|e| e.to_string())?;
+        let Some(Value { revision, bytes }) = read.value else {
+            return Ok(StoredConfig {
+                position: Position::new(read.era, 0),
+                value: ConfigValue::default(),
+            });
+        };
+        Ok(StoredConfig {
+            position: Position::new(read.era, revision),
+            value: (self.node.protocol.config.decode)(&bytes)?,
+        })
     }
 }
 
 /// Stored configuration with the platform's revision of its key.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct StoredConfig {
-    revision: u64,
+    position: Position,
     value: ConfigValue,
 }
 
--- a/crates/daemon/src/control/key_watch.rs
+++ b/crates/daemon/src/control/key_watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use masticdeal_platform::{Client, Error, ReadResult, Result, Value};
+use masticdeal_platform::{Client, Error, Position, ReadResult, Result, Value};
 
 /// Longest wait of one watch call for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
@@ -14,23 +14,6 @@
 /// platform counts each call against its limit, refused calls included.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
-/// A revision of the store and the era in which the store gave it out. Positions compare by era
-/// first, because a new era gives out revisions again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Position {
-    /// Era of the store.
-    pub era: u64,
-    /// Revision of a key, or of the store if a watch continues after it.
-    pub revision: u64,
-}
-
-impl Position {
-    /// Creates the position of a revision in an era.
-    pub fn new(era: u64, revision: u64) -> Self {
-        Self { era, revision }
-    }
-}
-
 /// State of the watch of one key.
 ///
 /// Whenever changes may have been missed, the key is read before the watch continues: after a
--- a/crates/daemon/src/control/relay.rs
+++ b/crates/daemon/src/control/relay.rs
@@ -20,7 +20,7 @@
 
 use bytes::Bytes;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_platform::{Client, ReadResult, Result, SwapOutcome, Value};
+use masticdeal_platform::{Client, Position, ReadResult, Result, SwapOutcome, Value};
 use masticdeal_wire::headers::{KEY_TABLE, PATH_STORE};
 use masticdeal_wire::peer::{StoreCall, StoreReply};
 
@@ -97,16 +97,16 @@
         }
     }
 
-    /// Writes the table if its key has the revision `expected_revision`. Tries members first while
+    /// Writes the table if its key has the revision of `expected`. Tries members first while
     /// direct calls are in back-off. A direct write with an unknown outcome is not retried here:
     /// the lease core reads the table back first.
-    pub async fn swap(&self, expected_revision: u64, bytes: Bytes) -> StoreReply {
+    pub async fn swap(&self, expected: Position, bytes: Bytes) -> StoreReply {
         if !self.prefers_direct_calls()
-            && let Some(reply) = self.member_swap(expected_revision, &bytes).await
+            && let Some(reply) = self.member_swap(expected, &bytes).await
         {
             return reply;
         }
-        self.direct_swap(expected_revision, bytes).await
+        self.direct_swap(expected, bytes).await
     }
 
     /// Makes a call on behalf of a member that does not reach the store. During the back-off of
@@ -123,7 +123,10 @@
                     value: read.value.map(|v| (v.revision, v.bytes.to_vec())),
                 })
             }
-            StoreCall::Swap { expect, bytes } => self.direct_swap(expect, bytes.into()).await,
+            StoreCall::Swap { expect, era, bytes } => {
+                let expected = Position::new(era, expect);
+                self.direct_swap(expected, bytes.into()).await
+            }
         }
     }
 
@@ -133,17 +136,14 @@
         read
     }
 
-    async fn direct_swap(&self, expected_revision: u64, bytes: Bytes) -> StoreReply {
-        let written = self
-            .platform
-            .swap(KEY_TABLE, expected_revision, bytes, None)
-            .await;
+    async fn direct_swap(&self, expected: Position, bytes: Bytes) -> StoreReply {
+        let written = self.platform.swap(KEY_TABLE, expected, bytes, None).await;
         self.record_direct_call(!matches!(written, SwapOutcome::Unknown(_)));
         match written {
             SwapOutcome::Applied { era, revision } => StoreReply::Done { era, revision },
             SwapOutcome::Conflict(revision) => StoreReply::Conflict(revision),
             SwapOutcome::Unknown(e) => {
-                log::warn!(expect = expected_revision, error:% = e;
+                log::warn!(expect = expected.revision, era = expected.era, error:% = e;
                     "outcome of a table swap is unknown");
                 StoreReply::Unknown
             }
@@ -170,9 +170,10 @@
 
     /// Writes the table through a member. Returns `None` when nothing was written: each member that
     /// was tried replied that it cannot reach the store, or there was none to try.
-    async fn member_swap(&self, expected_revision: u64, bytes: &Bytes) -> Option<StoreReply> {
+    async fn member_swap(&self, expected: Position, bytes: &Bytes) -> Option<StoreReply> {
         let call = StoreCall::Swap {
-            expect: expected_revision,
+            expect: expected.revision,
+            era: expected.era,
             bytes: bytes.to_vec(),
         };
         for member in self.members() {
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -12,10 +12,9 @@
 use displaydoc::Display;
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::table::{self, Table};
-use masticdeal_platform::Value;
+use masticdeal_platform::{Position, Value};
 use masticdeal_wire::peer::StoreReply;
 
-use super::key_watch::Position;
 use super::relay::Relay;
 use crate::clock::Clock;
 
@@ -124,13 +123,14 @@
         Ok(table)
     }
 
-    /// Replaces the table by `next` if the stored version is the one that `delta` was applied to.
+    /// Replaces the table by `next` if the stored version is the one that `delta` was applied to,
+    /// and the store has not come back from an older copy since the table was written.
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
-        let Some(revision) = self.revision_of(base).await else {
-            return SwapResult::Conflict(self.read_table().await);
-        };
-        self.write(revision, next).await
+        match self.position_of(base).await {
+            Some(position) if position.era == next.era => self.write(position, next).await,
+            _ => SwapResult::Conflict(self.read_table().await),
+        }
     }
 
     /// Replaces the table by `next` in the era of `next` if the stored version is `stored_version`.
@@ -138,12 +138,12 @@
         let stored = *self.stored.lock().unwrap();
         let stored = stored.filter(|s| s.version == stored_version && s.position.era == next.era);
         match stored {
-            Some(stored) => self.write(stored.position.revision, next).await,
+            Some(stored) => self.write(stored.position, next).await,
             None => SwapResult::Conflict(None),
         }
     }
 
-    async fn write(&self, expected_revision: u64, next: &Table) -> SwapResult {
+    async fn write(&self, expected: Position, next: &Table) -> SwapResult {
         let bytes = match table::encode(next) {
             Ok(bytes) => Bytes::from(bytes),
             Err(e) => {
@@ -151,11 +151,17 @@
                 return SwapResult::Conflict(None);
             }
         };
-        match self.relay.swap(expected_revision, bytes).await {
+        match self.relay.swap(expected, bytes).await {
             StoreReply::Done { era, revision } => {
                 self.record_reply();
                 self.record_stored(next.version, Position::new(era, revision));
-                SwapResult::Done
+                if era == expected.era {
+                    return SwapResult::Done;
+                }
+                // The store came back from an older copy in which the condition held as well.
+                log::warn!(table = next.version, expected = expected.era, era;
+                    "table was written in a later era of the platform store");
+                SwapResult::Conflict(None)
             }
             StoreReply::Conflict(_) => SwapResult::Conflict(self.read_table().await),
             _ => SwapResult::Unknown,
@@ -167,19 +173,19 @@
         Some(table)
     }
 
-    /// Returns the platform's revision of a version of the table. Returns `None` when the stored
-    /// table has another version or cannot be read.
-    async fn revision_of(&self, version: u64) -> Option<u64> {
+    /// Returns the position of a version of the table. Returns `None` when the stored table has
+    /// another version or cannot be read.
+    async fn position_of(&self, version: u64) -> Option<Position> {
         let cached = *self.stored.lock().unwrap();
         if let Some(stored) = cached
             && stored.version == version
             && stored.position.era >= self.relay.era()
         {
-            return Some(stored.position.revision);
+            return Some(stored.position);
         }
         let table = self.read_table().await?;
         let stored = (*self.stored.lock().unwrap())?;
-        (table.version == version).then_some(stored.position.revision)
+        (table.version == version).then_some(stored.position)
     }
 
     /// Records a version with its revision. Replies may arrive out of order, so an older revision
--- a/crates/platform/src/binding.rs
+++ b/crates/platform/src/binding.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 
-use crate::{Error, Result, Value};
+use crate::{Error, Position, Result, Value};
 
 /// One call to the store.
 #[derive(Debug, Clone, Copy)]
@@ -23,8 +23,9 @@
     Swap {
         /// The key.
         key: &'a str,
-        /// Expected revision of the key; 0 means that the key must not exist.
-        expected_revision: u64,
+        /// Expected revision of the key, and the era in which the store showed it. A revision of 0
+        /// means that the key must not exist.
+        expected: Position,
         /// The new value.
         bytes: &'a Bytes,
         /// Lease that the key is attached to; the store deletes the key when the lease ends.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -81,6 +81,23 @@
     pub bytes: Bytes,
 }
 
+/// A revision of the store and the era in which the store gave it out. Positions compare by era
+/// first, because a new era gives out revisions again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Era of the store.
+    pub era: u64,
+    /// Revision of a key, or of the store if a watch continues after it.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Creates the position of a revision in an era.
+    pub fn new(era: u64, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
+
 /// Outcome of a conditional write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwapOutcome {
@@ -160,12 +177,15 @@
         }
     }
 
-    /// Writes `bytes` if the key has revision `expected_revision`; 0 means that the key must not
+    /// Writes `bytes` if the key has the revision of `expected`; 0 means that the key must not
     /// exist. With `lease`, the store deletes the key when that lease expires.
+    ///
+    /// The write is not applied if the key was written through this client's wire format in a later
+    /// era than that of `expected`, although the store may have given out the same revision again.
     pub async fn swap(
         &self,
         key: &str,
-        expected_revision: u64,
+        expected: Position,
         bytes: Bytes,
         lease: Option<&str>,
     ) -> SwapOutcome {
@@ -175,7 +195,7 @@
         self.counts.add(CallKind::Swap);
         let op = Op::Swap {
             key,
-            expected_revision,
+            expected,
             bytes: &bytes,
             lease,
         };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,6 @@
 mod native;
 
 pub use binding::{Binding, ReadResult};
-pub use client::{Client, Error, Result, Settings, SwapOutcome, Value};
+pub use client::{Client, Error, Position, Result, Settings, SwapOutcome, Value};
 pub use counts::{CallCounts, CallKind};
 pub use native::NATIVE_BINDING;
--- a/crates/platform/src/native.rs
+++ b/crates/platform/src/native.rs
@@ -18,11 +18,11 @@
         Op::Get { key } => HttpRequest::new(Method::GET, format!("/v1/kv/{key}")),
         Op::Swap {
             key,
-            expected_revision,
+            expected,
             bytes,
             lease,
         } => {
-            let mut headers = vec![(headers::IF_REVISION, expected_revision.to_string())];
+            let mut headers = vec![(headers::IF_REVISION, expected.revision.to_string())];
             headers.extend(lease.map(|id| (headers::LEASE, id.to_owned())));
             HttpRequest {
                 headers,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -168,6 +168,8 @@
     Swap {
         /// Expected revision; 0 means that the key must not exist.
         expect: u64,
+        /// Era of the store in which the expected revision was read.
+        era: u64,
         /// The encoded table.
         bytes: Vec<u8>,
     },
