Take reports without a shard for no proof of its release

Cause: until grants of an earlier process have expired, a daemon took a shard without a record for released after two reports without it. Both may be late ones. The target sends reports n and n+1, both are held up, and the earlier process grants the shard in the reply to report n+2 and ends. The next process knows no sequence number of the target, so it accepts n and n+1 if they arrive before n+3, and moves the shard, which the target holds for up to a lease. The class of fault is that of: no knowledge was taken for proof of absence. Two reports only made it rarer.

Change: before that time, only a shard that was recorded as held and is then missing from a report counts as released. The daemon has positive evidence of those, and leaving targets release all their shards that way. A shard that the target was never seen to hold waits until the grants have expired, at most a lease after the start of the process.

The case "two reports without it" of the test expected the earlier rule. Its input cannot be told apart from two late reports, so the case now expects the shard to count as held.

Before: shard_without_a_record_counts_as_held_until_earlier_grants_expire with the new case fails ("two reports, which may both be late", actual: true). After: it passes, and so do the tests of whole_path (5 passed, 6.96 s).

--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -7,9 +7,9 @@
 //!   [`GrantedShards::clear`] is called, or until the grant has expired by the daemon's clock.
 //! - A shard in a report counts as held no matter who granted it, for example an earlier process of
 //!   this daemon.
-//! - Until the grants of an earlier process have expired, a shard without a recorded grant counts as
-//!   held as well, unless two reports have shown that the target does not hold it. The first report
-//!   may be a late one, from before the last grant of the earlier process.
+//! - Until the grants of an earlier process have expired, a shard that was never recorded as held
+//!   counts as held as well. Reports without the shard prove nothing: they may be late ones, from
+//!   before the last grant of the earlier process.
 //! - No grant outlives the lease under which it was given.
 //!
 //! A shard that does not count as held may therefore be given to another owner.
@@ -20,7 +20,7 @@
 //! shard under an epoch above that of this range. The same incarnation of a target never receives a
 //! shard under a lower epoch than before.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -46,10 +46,6 @@
 /// Maximum number of handovers stored from the local target, and likewise from other targets.
 const MAX_STORED_HANDOVERS: usize = 1_024;
 
-/// Number of reports after which the recorded grants include all grants of an earlier process that
-/// are still valid.
-const REPORTS_UNTIL_COMPLETE: u32 = 2;
-
 /// Grant of one shard.
 #[derive(Debug, Clone, Copy)]
 struct Granted {
@@ -70,11 +66,11 @@
     incarnation: u64,
     /// When the last grant of an earlier process of this daemon expires, as time since boot.
     earlier_grants_until: Duration,
-    /// Number of reports applied, up to [`REPORTS_UNTIL_COMPLETE`].
-    reports_applied: u32,
     /// Number of replies sent.
     replies_sent: u64,
     granted: BTreeMap<ShardId, Granted>,
+    /// Shards that were recorded as held and that the target has released since.
+    released: BTreeSet<ShardId>,
     /// Handovers from the local target for shards that it released.
     released_handovers: HashMap<ShardId, String>,
     /// Handovers from other targets for shards of this daemon, with the epoch they are meant for.
@@ -131,6 +127,7 @@
         if state.incarnation != report.announce.incarnation {
             state.incarnation = report.announce.incarnation;
             state.granted.clear();
+            state.released.clear();
             state.released_handovers.clear();
         }
         for range in &report.released {
@@ -142,11 +139,17 @@
         let replies_sent = state.replies_sent;
         // A target reports after each reply, so a shard that is neither in the last reply nor in
         // the report is no longer held.
-        state.granted.retain(|shard, granted| {
+        let State {
+            granted, released, ..
+        } = &mut *state;
+        granted.retain(|shard, granted| {
             let in_last_reply = granted.reply_number == Some(replies_sent);
-            now < granted.until && (in_last_reply || holds(*shard))
+            let is_held = now < granted.until && (in_last_reply || holds(*shard));
+            if !is_held {
+                released.insert(*shard);
+            }
+            is_held
         });
-        state.reports_applied = (state.reports_applied + 1).min(REPORTS_UNTIL_COMPLETE);
         state.record_reported(now, report, shard_count, max_earlier_grant);
         drop(state);
         self.changed.notify_waiters();
@@ -204,7 +207,7 @@
         let state = self.lock();
         match state.granted.get(&shard) {
             Some(granted) => granted.until <= now,
-            None => state.lists_all_grants(now),
+            None => state.released.contains(&shard) || state.earlier_grants_until <= now,
         }
     }
 
@@ -238,11 +241,6 @@
 }
 
 impl State {
-    /// Returns whether a shard without a recorded grant is not held.
-    fn lists_all_grants(&self, now: Duration) -> bool {
-        self.reports_applied == REPORTS_UNTIL_COMPLETE || self.earlier_grants_until <= now
-    }
-
     /// Records reported shards that do not count as held yet, such as those that an earlier process
     /// of this daemon granted.
     fn record_reported(
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -345,7 +345,12 @@
         case("no report", &[][..], ms(3_059), false),
         case("no report, grants expired", &[][..], ms(3_060), true),
         case("one report, which may be late", &[&[]], ms(1_000), false),
-        case("two reports without it", &[&[], &[]], ms(1_000), true),
+        case(
+            "two reports, which may both be late",
+            &[&[], &[]],
+            ms(1_000),
+            false,
+        ),
         case(
             "released between two reports",
             &[HELD, &[]],
