Ask members for the configuration before using a restored one

Cause: a daemon that starts took the stored configuration for the newest one. Its peers had a newer one in force, but it compares versions with them only after it has joined, in its first lease renewal. The class of fault is that of the table: an acknowledged write was taken to last. Ruled out: running daemons, they never install an older revision (configuration_does_not_go_back_after_restore passes before and after).

Change: a store of an era above 0 may have lost writes. Before a process without a configuration installs one from such a store, it reads the table and pulls from each session in it what is newer than the stored one. It repeats this until the table of that era is written, so that members which the copy of the table lacks are found too, and for at most 1 s: a daemon must also start when no member replies, and most routes of an older configuration are right. Until then it answers 503 (not run), which callers may repeat elsewhere. A store of era 0 costs nothing more. The configuration's watch waits for the same search, since it reads the key first too.

Open: a daemon whose members all need more than 1 s, or 300 ms for a reply, starts with the older one, and has the newer one from its first lease renewal on, as before.

--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -17,6 +17,7 @@
 use masticdeal_wire::peer::ConfigValue;
 
 use crate::node::Node;
+use crate::protocol::DecodeResult;
 
 /// Maximum number of attempts at one change while its outcome is unresolved, for example because
 /// the platform's replies are lost or late.
@@ -122,27 +123,32 @@
         true
     }
 
-    /// Reads the configuration from the platform's store and installs it if it is newer. Returns
-    /// whether it was installed.
+    /// Reads the configuration from the platform's store.
     ///
     /// # Errors
     ///
     /// [`ReadError`] when the store does not answer or its value cannot be decoded.
-    pub async fn refresh(&self) -> Result<bool, ReadError> {
-        let stored = self.read().await.map_err(ReadError)?;
-        Ok(self.install(&stored.value))
+    pub async fn read(&self) -> Result<StoredConfig, ReadError> {
+        let read = self.platform.read(self.node.protocol.config.key).await;
+        let read = read.map_err(|e| ReadError(e.to_string()))?;
+        let (revision, value) = match read.value {
+            None => (0, ConfigValue::default()),
+            Some(stored) => (stored.revision, self.decode(&stored).map_err(ReadError)?),
+        };
+        Ok(StoredConfig {
+            revision,
+            era: read.era,
+            value,
+        })
     }
 
-    /// Decodes a value from a watch and installs it if it is newer. Returns whether it was
-    /// installed.
-    pub fn install_stored(&self, stored: &Value) -> bool {
-        match (self.node.protocol.config.decode)(&stored.bytes) {
-            Ok(value) => self.install(&value),
-            Err(e) => {
-                log::error!("cannot decode the stored configuration: {e}");
-                false
-            }
-        }
+    /// Decodes a value from the platform's store.
+    ///
+    /// # Errors
+    ///
+    /// A description of what is malformed.
+    pub fn decode(&self, stored: &Value) -> DecodeResult<ConfigValue> {
+        (self.node.protocol.config.decode)(&stored.bytes)
     }
 
     /// Writes a proposed change.
@@ -175,7 +181,7 @@
     async fn attempt_change(&self, proposal: &Proposal, deployment: &Deployment) -> Attempt {
         let stored = match self.read().await {
             Ok(stored) => stored,
-            Err(reason) => return Attempt::Unresolved(reason),
+            Err(e) => return Attempt::Unresolved(e.to_string()),
         };
         let current = stored.value;
         self.install(&current);
@@ -208,24 +214,17 @@
             SwapOutcome::Unknown(e) => Attempt::Unresolved(e.to_string()),
         }
     }
-
-    async fn read(&self) -> Result<StoredConfig, String> {
-        let reply = self.platform.get(self.node.protocol.config.key).await;
-        match reply.map_err(|e| e.to_string())? {
-            None => Ok(StoredConfig::default()),
-            Some(Value { revision, bytes }) => Ok(StoredConfig {
-                revision,
-                value: (self.node.protocol.config.decode)(&bytes)?,
-            }),
-        }
-    }
 }
 
-/// Stored configuration with the platform's revision of its key.
-#[derive(Debug, Default)]
-struct StoredConfig {
+/// Stored configuration; its revision is 0 when none is stored.
+#[derive(Debug)]
+pub struct StoredConfig {
+    /// The platform's revision of the key.
     revision: u64,
-    value: ConfigValue,
+    /// Era of the store.
+    pub era: u64,
+    /// The configuration.
+    pub value: ConfigValue,
 }
 
 /// Outcome of one attempt at a change.
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -16,7 +16,7 @@
 use super::Control;
 
 /// Longest wait for the reply of a peer to a pull or an update.
-const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Delay before a pull for versions that forwarded requests reported. The tree usually delivers the
 /// update within this time.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,6 +5,8 @@
 //! - [`messages`]: handles control messages from other daemons.
 //! - [`table_store`], [`config_store`]: the assignment table and the configuration in the
 //!   platform's store.
+//! - [`config_restoration`]: finds the newest configuration after the store came back from an older
+//!   copy.
 //! - [`dissemination`]: sends updates of table and configuration to peers and pulls missing ones.
 //! - [`watcher`]: watches the platform's store, on a few daemons only.
 //! - [`key_watch`]: the watch of one key.
@@ -23,6 +25,7 @@
 //! checker runs on every table before it is published.
 
 pub mod commands;
+pub mod config_restoration;
 pub mod config_store;
 pub mod dissemination;
 pub mod driver;
@@ -96,6 +99,8 @@
     capacity: AtomicU32,
     /// Set once the wait for configuration and target at startup is over.
     startup_wait: OnceCell<()>,
+    /// Set once members were asked for a newer configuration than the stored one.
+    config_search: OnceCell<()>,
     /// Wakes the task that sends ticks to the core, since its next deadline may have changed.
     wake: Notify,
     grants_changed: Notify,
@@ -131,6 +136,7 @@
             services_assigned: AtomicBool::new(false),
             capacity: AtomicU32::new(0),
             startup_wait: OnceCell::new(),
+            config_search: OnceCell::new(),
             wake: Notify::new(),
             grants_changed: Notify::new(),
             grant_sequence: tokio::sync::Mutex::new(0),
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -140,10 +140,15 @@
                 }
                 continue;
             }
-            if let Some((value, _)) = watch.next(&platform).await
-                && self.config.install_stored(&value)
-            {
-                self.disseminate_config();
+            let Some((value, era)) = watch.next(&platform).await else {
+                continue;
+            };
+            match self.config.decode(&value) {
+                Ok(stored) if self.install_stored_config(&stored, era).await => {
+                    self.disseminate_config();
+                }
+                Ok(_) => {}
+                Err(e) => log::error!("cannot decode the stored configuration: {e}"),
             }
         }
     }
@@ -178,9 +183,14 @@
     /// Loads the configuration at startup, retrying until the platform's store or a peer has one.
     pub async fn load_config(self: Arc<Self>) {
         while self.config.current().revision == 0 {
-            if let Err(e) = self.config.refresh().await {
-                log::warn!("{e}");
-                self.bootstrap_from_peers().await;
+            match self.config.read().await {
+                Ok(stored) => {
+                    self.install_stored_config(&stored.value, stored.era).await;
+                }
+                Err(e) => {
+                    log::warn!("{e}");
+                    self.bootstrap_from_peers().await;
+                }
             }
             tokio::time::sleep(LOAD_RETRY_DELAY).await;
         }
