Keep the newest incarnation of the target when its events arrive late

A new incarnation of a target could get a grant before the table showed it, and then hold a shard together with the next owner (OWNER, third bullet); found in review. On the users' deployments daemons run one thread, which keeps these events in order; the default is one thread per core, where they can overtake each other.

Cause: compares the table with the incarnation that the core heard of last. The task that follows the target copies its announcement before it waits for the lock of the core, so the core may hear of incarnation 2, then again of 1 (or of no target, when the announcement expired meanwhile). The table still shows 1, so the reply to a report of 2 carries a grant, and the next process of the daemon takes 2 for one without grants.

Before: late_event_of_an_earlier_incarnation_gives_no_grant_to_the_newer_one fails in both cases (granted: shard 0 under epoch 6). After: it passes, and so do the other tests of the crate.

--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -257,6 +257,10 @@
             .target
             .as_ref()
             .map_or(table_incarnation, |t| t.incarnation);
+        if incarnation != 0 && incarnation < previous {
+            // A late event: the earlier incarnation has ended.
+            return;
+        }
         self.target = target;
         if incarnation == 0 || previous == 0 || incarnation == previous {
             return;
