Do not apply a target's report after a later one

On the users' deployments daemons run one thread, which keeps reports in order; the default is one thread per core.

Cause: the announce port refuses a report that arrives after a later one, but a report is applied after that check, without a lock over both. Two reports that arrive on two connections at the same moment may be applied in the other order. The earlier one then clears the record of the newer incarnation's grants, or lacks a shard that the target holds by now, and its absence counts as the release.

Change: the record of grants keeps the incarnation and the sequence number of the last report and ignores an earlier one; its reply has no grant. Reports without an incarnation have no order and are applied as before.

Before: late_report_does_not_release_what_a_later_one_was_granted fails in both cases (is_released: true). After: it passes, and so do the other tests of the daemon.

--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -47,10 +47,14 @@
         };
         let max_earlier_grant = longest_grant(&self.node.settings);
         let now = self.node.clock.now();
-        self.node
-            .granted_shards
-            .apply_report(now, report, shard_count, max_earlier_grant);
+        let is_applied =
+            self.node
+                .granted_shards
+                .apply_report(now, report, shard_count, max_earlier_grant);
         self.update_core_target();
+        if !is_applied {
+            return ReportReply::default();
+        }
         let deferred = std::mem::take(&mut *self.deferred_moves.lock().unwrap());
         for event in deferred {
             self.handle_event(event);
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 struct State {
     incarnation: u64,
+    /// Sequence number of the last report applied.
+    sequence: u64,
     /// When the last grant of an earlier process of this daemon expires, as time since boot.
     earlier_grants_until: Duration,
     /// Number of replies sent.
@@ -112,7 +114,8 @@
         }
     }
 
-    /// Applies a report of the target.
+    /// Applies a report of the target. Returns `false` without applying it if a later one was
+    /// applied before; its reply must then contain no grant.
     ///
     /// `shard_count` is the number of shards of the service. `max_earlier_grant` is the longest
     /// time for which an earlier process of this daemon may have granted the reported shards.
@@ -122,8 +125,14 @@
         report: &Report,
         shard_count: u32,
         max_earlier_grant: Duration,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
+        // Sequence numbers start anew with each incarnation, so without one there is no order.
+        let order = (report.announce.incarnation, report.sequence);
+        if order.0 != 0 && order < (state.incarnation, state.sequence) {
+            return false;
+        }
+        state.sequence = report.sequence;
         if state.incarnation != report.announce.incarnation {
             state.incarnation = report.announce.incarnation;
             state.granted.clear();
@@ -153,6 +162,7 @@
         state.record_reported(now, report, shard_count, max_earlier_grant);
         drop(state);
         self.changed.notify_waiters();
+        true
     }
 
     /// Creates the grant for the reply to the report that was just applied.
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -369,6 +369,31 @@
     }
 }
 
+/// Guards against a shard that counts as released because a report is applied after a later one, of
+/// the same or of a newer incarnation.
+#[gtest]
+fn late_report_does_not_release_what_a_later_one_was_granted() {
+    for (late, later) in [((1, 7), (2, 1)), ((1, 7), (1, 8))] {
+        let sent = |(incarnation, sequence)| Report {
+            sequence,
+            ..report(incarnation, &[])
+        };
+        let apply = |granted_shards: &GrantedShards, order| {
+            granted_shards.apply_report(ms(0), &sent(order), SHARD_COUNT, ms(3_060))
+        };
+        let granted_shards = GrantedShards::default();
+        apply(&granted_shards, later);
+        grant(&granted_shards, ms(0), &[(0, 4)], ms(3_000));
+        grant(&granted_shards, ms(0), &[], ms(3_000));
+        apply(&granted_shards, late);
+        expect_that!(
+            granted_shards.is_released(ms(100), ShardId(0)),
+            eq(false),
+            "{late:?} after {later:?}"
+        );
+    }
+}
+
 /// Guards against a request that misses a grant because the grant arrives after its check of the
 /// granted shards and before its wait.
 #[gtest]
