Take a report without a list of held ranges for no proof

Cause: a report without the field `holds` was read as one with an empty list. If the reply before it omitted a shard, such a report counted as the target's word that the shard was released. The class of fault is that of: no knowledge was taken for proof of absence.

Change: the list is optional in the report. Without it, the record of grants does not change and the reply has no grant, which renews and revokes nothing. Targets of services without shards send none and need none.

Before: with the list defaulted to an empty one, report_that_does_not_list_held_ranges_releases_nothing fails (is_released: true). After: it passes, and so do all tests of the daemon, the wire types and the adapter.

--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -38,8 +38,9 @@
         let Some((id, shard_count)) =
             service.and_then(|id| Some((id, self.node.range_shard_count(id)?)))
         else {
-            if !report.holds.is_empty() {
-                log::info!(ranges = report.holds.len(), table = self.node.versions().table;
+            let ranges = report.holds.as_ref().map_or(0, Vec::len);
+            if ranges > 0 {
+                log::info!(ranges, table = self.node.versions().table;
                     "ranges in the target's report are ignored: the table does not show its service");
             }
             self.update_core_target();
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -115,7 +115,8 @@
     }
 
     /// Applies a report of the target. Returns `false` without applying it if a later one was
-    /// applied before; its reply must then contain no grant.
+    /// applied before, or if it does not list what the target holds; its reply must then contain no
+    /// grant.
     ///
     /// `shard_count` is the number of shards of the service. `max_earlier_grant` is the longest
     /// time for which an earlier process of this daemon may have granted the reported shards.
@@ -126,6 +127,9 @@
         shard_count: u32,
         max_earlier_grant: Duration,
     ) -> bool {
+        let Some(held_ranges) = &report.holds else {
+            return false;
+        };
         let mut state = self.lock();
         // Sequence numbers start anew with each incarnation, so without one there is no order.
         let order = (report.announce.incarnation, report.sequence);
@@ -142,7 +146,7 @@
         for range in &report.released {
             state.record_released(range, shard_count);
         }
-        let holds = |shard: ShardId| report.holds.iter().any(|r| overlaps(r, shard, shard_count));
+        let holds = |shard: ShardId| held_ranges.iter().any(|r| overlaps(r, shard, shard_count));
         // A target that holds a shard has applied the handover for it.
         state.received_handovers.retain(|shard, _| !holds(*shard));
         let replies_sent = state.replies_sent;
@@ -159,7 +163,7 @@
             }
             is_held
         });
-        state.record_reported(now, report, shard_count, max_earlier_grant);
+        state.record_reported(now, held_ranges, shard_count, max_earlier_grant);
         drop(state);
         self.changed.notify_waiters();
         true
@@ -256,11 +260,11 @@
     fn record_reported(
         &mut self,
         now: Duration,
-        report: &Report,
+        held_ranges: &[HeldRange],
         shard_count: u32,
         max_earlier_grant: Duration,
     ) {
-        for range in &report.holds {
+        for range in held_ranges {
             for shard in (0..shard_count).map(ShardId) {
                 if overlaps(range, shard, shard_count) {
                     self.granted.entry(shard).or_insert(Granted {
--- a/crates/daemon/src/protocol.rs
+++ b/crates/daemon/src/protocol.rs
@@ -159,7 +159,7 @@
     let report = announce.map(|announce| Report {
         announce,
         sequence: 0,
-        holds: Vec::new(),
+        holds: None,
         released: Vec::new(),
     });
     Some(report.map(TargetMessage::Report).map_err(|e| e.to_string()))
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -31,7 +31,7 @@
             incarnation,
         },
         sequence: 1,
-        holds: holds.to_vec(),
+        holds: Some(holds.to_vec()),
         released: Vec::new(),
     }
 }
@@ -369,6 +369,23 @@
     }
 }
 
+/// Guards against a report without a list of held ranges that is read as one of a target that holds
+/// nothing.
+#[gtest]
+fn report_that_does_not_list_held_ranges_releases_nothing() {
+    let granted_shards = GrantedShards::default();
+    granted_shards.apply_report(ms(0), &report(1, &[]), SHARD_COUNT, ms(3_060));
+    grant(&granted_shards, ms(0), &[(0, 4)], ms(3_000));
+    grant(&granted_shards, ms(0), &[], ms(3_000));
+    let unlisted = Report {
+        holds: None,
+        ..report(1, &[])
+    };
+    let is_applied = granted_shards.apply_report(ms(100), &unlisted, SHARD_COUNT, ms(3_060));
+    expect_that!(is_applied, eq(false));
+    expect_that!(granted_shards.is_released(ms(200), ShardId(0)), eq(false));
+}
+
 /// Guards against a shard that counts as released because a report is applied after a later one, of
 /// the same or of a newer incarnation.
 #[gtest]
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -39,8 +39,9 @@
     pub announce: Announce,
     /// Increases with each report within one incarnation of the target.
     pub sequence: u64,
-    /// Ranges that the target holds, including those for which requests are still running.
-    pub holds: Vec<HeldRange>,
+    /// Ranges that the target holds, including those for which requests are still running; `None` if
+    /// the report does not list them.
+    pub holds: Option<Vec<HeldRange>>,
     /// Ranges released since the last report that got a reply.
     pub released: Vec<ReleasedRange>,
 }
