--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -38,8 +38,9 @@
         let Some((id, shard_count)) =
             service.and_then(|id| Some((id, self.node.range_shard_count(id)?)))
         else {
-            if !report.holds.is_empty() {
-                log::info!(ranges = report.holds.len(), table = self.node.versions().table;
+            let ranges = report.holds.as_ref().map_or(0, Vec::len);
+            if ranges > 0 {
+                log::info!(ranges, table = self.node.versions().table;
                     "ranges in the target's report are ignored: the table does not show its service");
             }
             self.update_core_target();
@@ -47,10 +48,14 @@
         };
         let max_earlier_grant = longest_grant(&self.node.settings);
         let now = self.node.clock.now();
-        self.node
-            .granted_shards
-            .apply_report(now, report, shard_count, max_earlier_grant);
+        let is_applied =
+            self.node
+                .granted_shards
+                .apply_report(now, report, shard_count, max_earlier_grant);
         self.update_core_target();
+        if !is_applied {
+            return ReportReply::default();
+        }
         let deferred = std::mem::take(&mut *self.deferred_moves.lock().unwrap());
         for event in deferred {
             self.handle_event(event);
