Read the era of the store in the native wire format

The project's own protocol had no way to tell that the store came back from an older copy: the era was always 0, so that the table was not written back, watches compared revisions of different eras, and a daemon that started used the restored configuration without asking members.

Change: the header `x-store-era` of any response is the number of times that the store came back; absent means 0. The stand-in never comes back from a copy and sends none, so nothing changes with it.

--- a/crates/platform/src/native.rs
+++ b/crates/platform/src/native.rs
@@ -10,7 +10,7 @@
 pub const NATIVE_BINDING: Binding = Binding {
     encode,
     decode,
-    era: |_| 0,
+    era,
 };
 
 fn encode(op: &Op<'_>) -> HttpRequest {
@@ -54,7 +54,7 @@
         (Op::Get { .. }, StatusCode::NOT_FOUND) => Ok(OpReply::Read(ReadResult {
             value: None,
             watch_revision: 0,
-            era: 0,
+            era: era(response),
         })),
         (Op::Swap { .. }, StatusCode::OK) => Ok(OpReply::Written(revision_header(response)?)),
         (Op::Swap { .. }, StatusCode::CONFLICT) => {
@@ -65,7 +65,7 @@
             Ok(OpReply::Watched(ReadResult {
                 value: None,
                 watch_revision: *after_revision,
-                era: 0,
+                era: era(response),
             }))
         }
         (Op::LeaseGrant { .. }, StatusCode::OK) => {
@@ -92,14 +92,18 @@
     Ok(ReadResult {
         watch_revision: value.revision,
         value: Some(value),
-        era: 0,
+        era: era(response),
     })
 }
 
+fn era(response: &HttpResponse) -> u64 {
+    number_header(response, headers::STORE_ERA).unwrap_or(0)
+}
+
 fn revision_header(response: &HttpResponse) -> Result<u64> {
-    let revision = response.headers.get(headers::REVISION);
-    let revision = revision.and_then(|v| v.to_str().ok());
-    revision
-        .and_then(|v| v.parse().ok())
-        .ok_or(Error::Malformed("no revision"))
+    number_header(response, headers::REVISION).ok_or(Error::Malformed("no revision"))
+}
+
+fn number_header(response: &HttpResponse, name: &str) -> Option<u64> {
+    response.headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -23,6 +23,9 @@
 
 /// Revision of a value in the platform store.
 pub const REVISION: &str = "x-revision";
+/// Era of the platform store: the number of times that it came back from an older copy. Absent in
+/// the responses of a store that never did.
+pub const STORE_ERA: &str = "x-store-era";
 /// Revision that a conditional write expects; 0 means that the key must not exist.
 pub const IF_REVISION: &str = "x-if-revision";
 /// Lease of the platform store that a written key is bound to.
