Write an accepted configuration back when the platform store lost it

After the store had come back from an older copy, operators of the project's own protocol could not change the configuration any more: each change on the one in force was refused as a conflict with the older stored one, whose text was no longer in force anywhere. Later readers, such as daemons that start, got the older one, and a change that was made on it reverted the accepted one.

Ruled out: an older answer of a late read, since the write is a compare-and-swap on the revision that was read.

Change: revisions of the configuration rise with each accepted change, so a stored one below the installed one was lost. A daemon that sees this in a proposal, from its watch or when the store's era rises writes the installed one back; the random delay before it lets one daemon write for all. Operators' configuration (not writable) is never written: the operator writes it again.

Evidence: accepted_configuration_outlives_the_restored_store fails before (change refused: revision 1 stands) and passes now; restored_store_gets_the_newest_configuration_back_once shows one write for two daemons.

--- a/crates/daemon/src/control/config_restoration.rs
+++ b/crates/daemon/src/control/config_restoration.rs
@@ -1,10 +1,12 @@
-//! Finds a configuration that is newer than the one in a platform store that came back from an
-//! older copy.
+//! Recovers the newest configuration after the platform store came back from an older copy.
 //!
 //! Such a store may have lost the newest configuration, while members have it in force. A daemon
 //! that has no configuration yet therefore asks the members before it uses the stored one. It finds
 //! them in the stored table, which may be older too: members that it lacks are found once one of
 //! them has written the table back.
+//!
+//! If daemons write the configuration, each one that has a newer one in force than the store writes
+//! it back. Otherwise the operator does.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,6 +24,10 @@
 /// also start when no member replies.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest delay before the configuration is written back. Usually one daemon has written it before
+/// the others read it.
+const MAX_WRITE_BACK_DELAY: Duration = Duration::from_millis(300);
+
 /// Delay before the table is read again.
 const TABLE_READ_DELAY: Duration = Duration::from_millis(200);
 
@@ -44,9 +50,22 @@
                 })
                 .await;
         }
+        if self.config.is_lost(stored) {
+            tokio::spawn(self.clone().write_back_config());
+        }
         self.config.install(stored)
     }
 
+    /// Writes the configuration back if the store lost it, and disseminates the result if it is newer.
+    pub(super) async fn write_back_config(self: Arc<Self>) {
+        let before = self.config.current().revision;
+        tokio::time::sleep(MAX_WRITE_BACK_DELAY.mul_f64(rand::random())).await;
+        self.config.write_back().await;
+        if self.config.current().revision > before {
+            self.disseminate_config();
+        }
+    }
+
     /// Pulls the configuration from each member that has a newer one than revision `stored`, until
     /// the table of this era of the store shows all members.
     async fn pull_newer_config(self: &Arc<Self>, stored: u64, era: u64) {
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -3,6 +3,9 @@
 //! The configuration is one value in the platform's store. A change is accepted by one
 //! compare-and-swap of that value.
 //!
+//! The store may come back from an older copy and lose accepted changes. A daemon that has the newest
+//! of them in force writes it back, so that later changes are based on it.
+//!
 //! Invariant: the revision that this daemon publishes never decreases.
 
 use std::sync::{Arc, Mutex};
@@ -178,13 +181,66 @@
         Err(Error::Unavailable(last_reason))
     }
 
+    /// Writes the installed configuration back if the store lost it. Does nothing if operators write
+    /// the configuration by other means.
+    pub async fn write_back(&self) {
+        if !self.node.protocol.config.writable || self.current().revision == 0 {
+            return;
+        }
+        for _ in 0..MAX_ATTEMPTS {
+            match self.read().await {
+                Ok(stored) if self.replace_if_lost(&stored).await => return,
+                Ok(_) => {}
+                Err(e) => log::warn!("{e}"),
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Returns whether the store lost the installed configuration and this daemon may write it back.
+    pub fn is_lost(&self, stored: &ConfigValue) -> bool {
+        self.node.protocol.config.writable && self.replacement_for(stored).is_some()
+    }
+
+    /// Installs the stored configuration if it is newer, or replaces it if the store lost the
+    /// installed one. Returns `false` if it was to be replaced, and must be read again.
+    async fn replace_if_lost(&self, stored: &StoredConfig) -> bool {
+        let Some(next) = self.replacement_for(&stored.value) else {
+            self.install(&stored.value);
+            return true;
+        };
+        let bytes = match encode(&next) {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                log::error!("cannot encode the configuration: {reason}");
+                return false;
+            }
+        };
+        let key = self.node.protocol.config.key;
+        let outcome = self.platform.swap(key, stored.revision, bytes, None).await;
+        log::warn!(stored = stored.value.revision, revision = next.revision, outcome:?;
+            "wrote the configuration back to the platform store, which had lost it");
+        if matches!(outcome, SwapOutcome::Applied { .. }) {
+            self.install(&next);
+        }
+        false
+    }
+
+    /// Returns the configuration to write if the store lost the installed one.
+    fn replacement_for(&self, stored: &ConfigValue) -> Option<ConfigValue> {
+        let installed = self.current();
+        (stored.revision < installed.revision).then_some(installed)
+    }
+
     async fn attempt_change(&self, proposal: &Proposal, deployment: &Deployment) -> Attempt {
         let stored = match self.read().await {
             Ok(stored) => stored,
             Err(e) => return Attempt::Unresolved(e.to_string()),
         };
+        if !self.replace_if_lost(&stored).await {
+            return Attempt::Unresolved("the store had lost an accepted configuration".into());
+        }
         let current = stored.value;
-        self.install(&current);
         if current.change_id == proposal.change_id || current.recent.contains(&proposal.change_id) {
             return Attempt::Accepted(current);
         }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -160,6 +160,7 @@
             let era = *era_rx.borrow_and_update();
             log::info!(era, table = self.node.versions().table; "era of the platform store changed");
             self.handle_event(Event::StoreEra(era));
+            tokio::spawn(self.clone().write_back_config());
         }
     }
 
