Give one of two configurations of the same revision a new revision

Two daemons could run different configurations of one revision for good: one accepted a change, the platform store came back without it, and another daemon that did not know it accepted a different change as the same revision. The next change on the first one then replaced the second without a word to its author.

Cause: a revision was taken to identify a configuration. After the store lost one it is given out again, and a configuration of an equal revision is not installed.

Change: a daemon whose installed configuration has the stored one's revision but another change id writes the stored one again under the next revision. All other daemons take it as any newer configuration, from the store or from peers. The stored one stays because later readers and its author have seen it; the author of the dropped one gets a conflict at the next change, and a log line names the change. Versions in lease renewals still carry the revision alone, so a daemon that does not watch the store (in fleets of more than 128) keeps the other one until a daemon with it reads the store.

--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -8,6 +8,7 @@
 //!
 //! Invariant: the revision that this daemon publishes never decreases.
 
+use std::cmp::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -221,15 +222,35 @@
         log::warn!(stored = stored.value.revision, revision = next.revision, outcome:?;
             "wrote the configuration back to the platform store, which had lost it");
         if matches!(outcome, SwapOutcome::Applied { .. }) {
+            self.log_dropped_change(&next);
             self.install(&next);
         }
         false
     }
 
+    /// Logs the installed change if `next` replaces it by another one of the same revision.
+    fn log_dropped_change(&self, next: &ConfigValue) {
+        let installed = self.current();
+        if next.change_id != installed.change_id {
+            log::error!(revision = installed.revision, author = installed.author.as_str(),
+                change_id = installed.change_id, kept_change_id = next.change_id;
+                "dropped an accepted configuration: another one was accepted as the same revision");
+        }
+    }
+
     /// Returns the configuration to write if the store lost the installed one.
     fn replacement_for(&self, stored: &ConfigValue) -> Option<ConfigValue> {
         let installed = self.current();
-        (stored.revision < installed.revision).then_some(installed)
+        match stored.revision.cmp(&installed.revision) {
+            Ordering::Less => Some(installed),
+            // Both were accepted. The stored one gets a new revision, so that it also replaces the
+            // other one on the daemons that have that in force.
+            Ordering::Equal if stored.change_id != installed.change_id => Some(ConfigValue {
+                revision: stored.revision + 1,
+                ..stored.clone()
+            }),
+            Ordering::Equal | Ordering::Greater => None,
+        }
     }
 
     async fn attempt_change(&self, proposal: &Proposal, deployment: &Deployment) -> Attempt {
--- a/crates/daemon/tests/config_store.rs
+++ b/crates/daemon/tests/config_store.rs
@@ -203,3 +203,22 @@
     assert_that!(store.copy().revision, eq(copy.revision + 1));
     assert_that!(propose(&late, &proposal(2, 30)).await, ok(eq((3, 30))));
 }
+
+/// Guards against two daemons that keep different configurations of one revision.
+#[tokio::test]
+async fn changes_of_one_revision_converge_after_restore() {
+    let store = Store::start().await;
+    let [first, second] = [store.open_config().await, store.open_config().await];
+    assert_that!(propose(&first, &proposal(0, 10)).await, ok(eq((1, 10))));
+    let copy = store.copy();
+    assert_that!(propose(&first, &proposal(1, 20)).await, ok(eq((2, 20))));
+    store.restore(&copy);
+    assert_that!(propose(&second, &proposal(1, 30)).await, ok(eq((2, 30))));
+    // The author of this change has seen change 20, and not change 30.
+    let refused = propose(&first, &proposal(2, 40)).await;
+    assert_that!(refused, err(eq((3, 30))));
+    let refused = propose(&second, &proposal(2, 50)).await;
+    assert_that!(refused, err(eq((3, 30))));
+    assert_that!(first.current(), eq(&second.current()));
+    assert_that!(store.stored(), eq(&second.current()));
+}
