Install a version of the operator's configuration that was given out again

Callers got 404 for a route of a configuration that the operator had written, for good, when it had the version of an earlier one that the platform store had lost.

The store had lost the earlier one, so its version was free again for the operator, and daemons that started since had the other text.

Change: a value from the watch with the installed version but another text replaces the installed one. Only the watch does this, whose reads are in order; peers and the first read still install newer versions only, so neither of them can bring the lost text back. A lower version is still ignored.

--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -101,8 +101,22 @@
     /// A text that does not parse is ignored, so that a value written by another program never
     /// replaces a valid one.
     pub fn install(&self, value: &ConfigValue) -> bool {
+        self.install_if(value, |current| current.revision < value.revision)
+    }
+
+    /// Installs a configuration from a watch if it has the revision of the current one but another
+    /// text: operators may give out a revision again that the store had lost. Returns whether it was
+    /// installed, which is never the case if daemons write the configuration.
+    pub fn install_rewritten(&self, value: &ConfigValue) -> bool {
+        let is_rewritten = |current: &ConfigValue| {
+            current.revision == value.revision && current.text != value.text
+        };
+        !self.node.protocol.config.writable && self.install_if(value, is_rewritten)
+    }
+
+    fn install_if(&self, value: &ConfigValue, replaces: impl FnOnce(&ConfigValue) -> bool) -> bool {
         let mut current = self.current.lock().unwrap();
-        if value.revision <= current.revision {
+        if !replaces(&current) {
             return false;
         }
         let deployment = match (self.node.protocol.config.parse)(&value.text) {
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -147,7 +147,9 @@
                 Ok(stored) if self.install_stored_config(&stored, era).await => {
                     self.disseminate_config();
                 }
-                Ok(_) => {}
+                Ok(stored) => {
+                    self.config.install_rewritten(&stored);
+                }
                 Err(e) => log::error!("cannot decode the stored configuration: {e}"),
             }
         }
