--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -3,8 +3,12 @@
 //! The configuration is one value in the platform's store. A change is accepted by one
 //! compare-and-swap of that value.
 //!
+//! The store may come back from an older copy and lose accepted changes. A daemon that has the newest
+//! of them in force writes it back, so that later changes are based on it.
+//!
 //! Invariant: the revision that this daemon publishes never decreases.
 
+use std::cmp::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -97,8 +101,22 @@
     /// A text that does not parse is ignored, so that a value written by another program never
     /// replaces a valid one.
     pub fn install(&self, value: &ConfigValue) -> bool {
+        self.install_if(value, |current| current.revision < value.revision)
+    }
+
+    /// Installs a configuration from a watch if it has the revision of the current one but another
+    /// text: operators may give out a revision again that the store had lost. Returns whether it was
+    /// installed, which is never the case if daemons write the configuration.
+    pub fn install_rewritten(&self, value: &ConfigValue) -> bool {
+        let is_rewritten = |current: &ConfigValue| {
+            current.revision == value.revision && current.text != value.text
+        };
+        !self.node.protocol.config.writable && self.install_if(value, is_rewritten)
+    }
+
+    fn install_if(&self, value: &ConfigValue, replaces: impl FnOnce(&ConfigValue) -> bool) -> bool {
         let mut current = self.current.lock().unwrap();
-        if value.revision <= current.revision {
+        if !replaces(&current) {
             return false;
         }
         let deployment = match (self.node.protocol.config.parse)(&value.text) {
@@ -177,13 +195,86 @@
         Err(Error::Unavailable(last_reason))
     }
 
+    /// Writes the installed configuration back if the store lost it. Does nothing if operators write
+    /// the configuration by other means.
+    pub async fn write_back(&self) {
+        if !self.node.protocol.config.writable || self.current().revision == 0 {
+            return;
+        }
+        for _ in 0..MAX_ATTEMPTS {
+            match self.read().await {
+                Ok(stored) if self.replace_if_lost(&stored).await => return,
+                Ok(_) => {}
+                Err(e) => log::warn!("{e}"),
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Returns whether the store lost the installed configuration and this daemon may write it back.
+    pub fn is_lost(&self, stored: &ConfigValue) -> bool {
+        self.node.protocol.config.writable && self.replacement_for(stored).is_some()
+    }
+
+    /// Installs the stored configuration if it is newer, or replaces it if the store lost the
+    /// installed one. Returns `false` if it was to be replaced, and must be read again.
+    async fn replace_if_lost(&self, stored: &StoredConfig) -> bool {
+        let Some(next) = self.replacement_for(&stored.value) else {
+            self.install(&stored.value);
+            return true;
+        };
+        let bytes = match encode(&next) {
+            Ok(bytes) => bytes,
+            Err(reason) => {
+                log::error!("cannot encode the configuration: {reason}");
+                return false;
+            }
+        };
+        let key = self.node.protocol.config.key;
+        let outcome = self.platform.swap(key, stored.revision, bytes, None).await;
+        log::warn!(stored = stored.value.revision, revision = next.revision, outcome:?;
+            "wrote the configuration back to the platform store, which had lost it");
+        if matches!(outcome, SwapOutcome::Applied { .. }) {
+            self.log_dropped_change(&next);
+            self.install(&next);
+        }
+        false
+    }
+
+    /// Logs the installed change if `next` replaces it by another one of the same revision.
+    fn log_dropped_change(&self, next: &ConfigValue) {
+        let installed = self.current();
+        if next.change_id != installed.change_id {
+            log::error!(revision = installed.revision, author = installed.author.as_str(),
+                change_id = installed.change_id, kept_change_id = next.change_id;
+                "dropped an accepted configuration: another one was accepted as the same revision");
+        }
+    }
+
+    /// Returns the configuration to write if the store lost the installed one.
+    fn replacement_for(&self, stored: &ConfigValue) -> Option<ConfigValue> {
+        let installed = self.current();
+        match stored.revision.cmp(&installed.revision) {
+            Ordering::Less => Some(installed),
+            // Both were accepted. The stored one gets a new revision, so that it also replaces the
+            // other one on the daemons that have that in force.
+            Ordering::Equal if stored.change_id != installed.change_id => Some(ConfigValue {
+                revision: stored.revision + 1,
+                ..stored.clone()
+            }),
+            Ordering::Equal | Ordering::Greater => None,
+        }
+    }
+
     async fn attempt_change(&self, proposal: &Proposal, deployment: &Deployment) -> Attempt {
         let stored = match self.read().await {
             Ok(stored) => stored,
             Err(e) => return Attempt::Unresolved(e.to_string()),
         };
+        if !self.replace_if_lost(&stored).await {
+            return Attempt::Unresolved("the store had lost an accepted configuration".into());
+        }
         let current = stored.value;
-        self.install(&current);
         if current.change_id == proposal.change_id || current.recent.contains(&proposal.change_id) {
             return Attempt::Accepted(current);
         }
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -147,7 +147,9 @@
                 Ok(stored) if self.install_stored_config(&stored, era).await => {
                     self.disseminate_config();
                 }
-                Ok(_) => {}
+                Ok(stored) => {
+                    self.config.install_rewritten(&stored);
+                }
                 Err(e) => log::error!("cannot decode the stored configuration: {e}"),
             }
         }
@@ -160,6 +162,7 @@
             let era = *era_rx.borrow_and_update();
             log::info!(era, table = self.node.versions().table; "era of the platform store changed");
             self.handle_event(Event::StoreEra(era));
+            tokio::spawn(self.clone().write_back_config());
         }
     }
 
