Yield after 64 KiB read from the target in one poll

Callers of a target that sent interim responses without end got their failure by the deadline, but the daemon read on for seconds after it, and after the caller had left; in that time the slot's connection stayed open and one thread of the daemon served nothing else. The daemon of the platform has one thread, so heartbeats and all other requests would wait for it.

Cause: the HTTP library reads on within one poll as long as bytes are available and yield neither a head nor a frame. The runtime ends a poll only after 128 reads, here 8 MiB, and a task is aborted only between polls. The stream below the library now yields after 64 KiB, whatever the library makes of the bytes.

Ruled out by the same tests, in a flood and in a trickle, with one hop and two: header lines, a header name and a header value without end, bytes that are no response, empty lines, surplus bytes after a complete response. The library refuses the heads at 64 KiB or 100 headers, and closes an idle connection on which bytes arrive; the deadline ends the rest.

--- a/crates/daemon/src/owner/connection.rs
+++ b/crates/daemon/src/owner/connection.rs
@@ -12,6 +12,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::read_limit::LimitedStream;
 use super::write_check::{CheckedStream, WriteCheck};
 use crate::exchange::Body;
 use crate::node::Node;
@@ -63,7 +64,7 @@
             Arc::new(ByteCounts::default()),
             Arc::new(WriteCheck::default()),
         );
-        let io = CountingStream::new(stream, Arc::clone(&counts));
+        let io = CountingStream::new(LimitedStream::new(stream), Arc::clone(&counts));
         let io = TokioIo::new(CheckedStream::new(io, Arc::clone(&write_check)));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES);
--- a/crates/daemon/tests/common/faulty_target.rs
+++ b/crates/daemon/tests/common/faulty_target.rs
@@ -46,7 +46,7 @@
     /// Number of connections that ended.
     pub closed_connections: Arc<AtomicUsize>,
     /// Number of bytes sent.
-    pub sent_bytes: Arc<AtomicU64>,
+    sent_bytes: Arc<AtomicU64>,
     accept_task: JoinHandle<()>,
 }
 
@@ -96,6 +96,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Returns the number of bytes sent.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::SeqCst)
+    }
+
     pub fn closed_connections(&self) -> usize {
         self.closed_connections.load(Ordering::SeqCst)
     }
