Restore the store from a copy in the random model

The random runs never restored their store, so nothing random checked the restoration of the table. Now a store with revisions and an era can come back from a copy that is up to 8 s old, up to three times a run, among the faults of the plan. A swap names the revision that its process read; a late write of before the restore takes effect if the table has that revision, even if it was given out again. A process learns the era only from replies of the store. Collections go over the simulated network. The first era is 0 or 1.

Two checks are new, in these runs only for the first: a target gets a shard only under a higher epoch than any other target had, and each table that a process installs passes the check on which a daemon aborts.

--- a/crates/ownership/examples/model.rs
+++ b/crates/ownership/examples/model.rs
@@ -3,6 +3,8 @@
 //! - `model hold FROM COUNT` runs one simulation per seed with every rule, and exits with 1 when a
 //!   run violates an invariant.
 //! - `model lives FROM COUNT` does the same with targets that report their incarnation.
+//! - `model restored FROM COUNT` does the same with a store that comes back from an older copy.
+//! - `model minimise SEED` removes faults from a failing run of `restored` and prints the rest.
 //! - `model search RULE FROM COUNT` disables a rule such as `ReadBack`, and prints up to three
 //!   seeds whose run violates an invariant then.
 
@@ -13,7 +15,10 @@
 use std::process::ExitCode;
 
 use masticdeal_ownership::lease::Rule;
-use sim::seeds::{run_seed, run_seed_with_incarnations};
+use sim::seeds::{
+    restore_plan, run_restore_plan, run_seed, run_seed_with_incarnations, run_seed_with_restores,
+};
+use sim::{Broken, Fault};
 
 /// Every rule that can be disabled.
 const RULES: [Rule; 15] = [
@@ -38,15 +43,23 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args.as_slice() {
-        ["hold", from, count] => run_seeds(seeds(from, count), false),
-        ["lives", from, count] => run_seeds(seeds(from, count), true),
+        ["hold", from, count] => run_seeds(seeds(from, count), |seed| run_seed(seed, None)),
+        ["lives", from, count] => run_seeds(seeds(from, count), |seed| {
+            run_seed_with_incarnations(seed, None, true)
+        }),
+        ["restored", from, count] => run_seeds(seeds(from, count), |seed| {
+            run_seed_with_restores(seed, None)
+        }),
+        ["minimise", seed] => minimise(seed.parse().expect("a seed is a number")),
         ["search", rule, from, count] => search(rule, seeds(from, count)),
         _ => usage(),
     }
 }
 
 fn usage() -> ExitCode {
-    eprintln!("usage: model hold|lives FROM COUNT | model search RULE FROM COUNT");
+    eprintln!(
+        "usage: model hold|lives|restored FROM COUNT | model minimise SEED | model search RULE FROM COUNT"
+    );
     ExitCode::from(2)
 }
 
@@ -55,10 +68,10 @@
     number(from)..number(from) + number(count)
 }
 
-fn run_seeds(seeds: Range<u64>, report_incarnations: bool) -> ExitCode {
+fn run_seeds(seeds: Range<u64>, run: impl Fn(u64) -> Result<(), Broken>) -> ExitCode {
     let mut violations = 0;
     for seed in seeds.clone() {
-        if let Err(violation) = run_seed_with_incarnations(seed, None, report_incarnations) {
+        if let Err(violation) = run(seed) {
             println!("seed {seed}: {violation:?}");
             violations += 1;
         }
@@ -67,6 +80,28 @@
     ExitCode::from(u8::from(violations > 0))
 }
 
+/// Removes faults from the plan of a failing seed as long as the run fails.
+fn minimise(seed: u64) -> ExitCode {
+    let mut plan = restore_plan(seed);
+    let mut index = 0;
+    while index < plan.len() {
+        let mut shorter: Vec<(u64, Fault)> = plan.clone();
+        let (delay, _) = shorter.remove(index);
+        if let Some(next) = shorter.get_mut(index) {
+            next.0 += delay;
+        }
+        match run_restore_plan(seed, None, &shorter) {
+            Err(_) => plan = shorter,
+            Ok(()) => index += 1,
+        }
+    }
+    for fault in &plan {
+        println!("{fault:?}");
+    }
+    println!("{:?}", run_restore_plan(seed, None, &plan));
+    ExitCode::SUCCESS
+}
+
 fn search(name: &str, seeds: Range<u64>) -> ExitCode {
     let Some(rule) = RULES.into_iter().find(|rule| format!("{rule:?}") == name) else {
         return usage();
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -7,7 +7,7 @@
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 use sim::Setup;
-use sim::seeds::{run_plan, run_seed, setup};
+use sim::seeds::{run_plan, run_seed, run_seed_with_restores, setup};
 
 /// Guards against processes that each assume to be the only remaining one and never receive a newer
 /// table. With this seed, three processes stayed in that state, and no shard was served after
@@ -33,6 +33,17 @@
     run_random_faults([8; 32], 60, true);
 }
 
+/// Guards against two owners, or an epoch that does not rise, after the store came back from an
+/// older copy.
+#[test]
+fn invariants_hold_with_restored_store() {
+    for seed in 0..60 {
+        if let Err(violation) = run_seed_with_restores(seed, None) {
+            panic!("seed {seed}: {violation:?}");
+        }
+    }
+}
+
 fn run_random_faults(seed: [u8; 32], cases: u32, report_incarnations: bool) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let config = Config {
--- a/crates/ownership/tests/sim/faults.rs
+++ b/crates/ownership/tests/sim/faults.rs
@@ -42,6 +42,9 @@
     OneWay(u32, u64),
     /// The store is unavailable; writes that are sent meanwhile may take effect late.
     Down(u64),
+    /// The store is away for the second duration and comes back from a copy that is as old as the
+    /// first one.
+    RestoreStore(u64, u64),
     /// Calls to the store, its responses and its updates to daemons that watch it are delayed at
     /// random.
     Slow(u64),
@@ -158,6 +161,7 @@
                 self.partition(mask, length_ms, PartitionKind::OneWay)
             }
             Fault::Down(length_ms) => self.platform.down_until = now + ms(length_ms),
+            Fault::RestoreStore(age_ms, away_ms) => self.restore_store(ms(age_ms), ms(away_ms)),
             Fault::Slow(length_ms) => self.platform.slow_until = now + ms(length_ms),
             Fault::LoseResponses(length_ms) => self.platform.lossy_until = now + ms(length_ms),
             Fault::Congestion(length_ms) => self.congested_until = now + ms(length_ms),
--- a/crates/ownership/tests/sim/mod.rs
+++ b/crates/ownership/tests/sim/mod.rs
@@ -9,6 +9,7 @@
 
 mod faults;
 mod platform;
+mod restorable_store;
 pub mod seeds;
 mod vm;
 
@@ -45,6 +46,8 @@
     /// Fraction of messages that are lost without any other fault.
     pub loss_rate: f64,
     pub check_invariants: bool,
+    /// Whether the store compares revisions, so that [`Fault::RestoreStore`] can be used.
+    pub restores_store: bool,
     /// Whether the targets announce that they check grants.
     pub targets_check_grants: bool,
     /// Whether the targets report an incarnation. If so, a [`Fault::Restart`] with an odd duration
@@ -67,6 +70,7 @@
             max_drift: 0.0,
             loss_rate: 0.0,
             check_invariants: true,
+            restores_store: false,
             targets_check_grants: true,
             report_incarnations: false,
             max_work_ms: 30,
@@ -88,6 +92,7 @@
     /// Delayed effects of one process.
     Effects(usize, u64, Vec<Effect>),
     Platform(platform::Call),
+    Store(restorable_store::StoreEvent),
     /// A grant for the target with this index, with the number of the daemon's process and the
     /// sequence number of the grant. `None` withdraws the target's grants.
     Grant(usize, u64, u64, Option<Grants>),
@@ -161,6 +166,8 @@
     pub addresses: BTreeMap<SocketAddr, usize>,
     /// All targets, including those of replaced VMs.
     pub targets: Vec<Target>,
+    /// Highest epoch under which a target held each shard, and that target.
+    granted_epochs: BTreeMap<ShardId, (Epoch, usize)>,
     /// Until when messages between VMs are delayed, reordered or lost.
     pub congested_until: Duration,
     pub partitions: Vec<Partition>,
@@ -182,6 +189,7 @@
             platform: Platform::default(),
             addresses: BTreeMap::new(),
             targets: Vec::new(),
+            granted_epochs: BTreeMap::new(),
             congested_until: Duration::ZERO,
             partitions: Vec::new(),
             violation: None,
@@ -193,6 +201,7 @@
             setup,
         };
         sim.platform.timeout = ms([100, 250, 500][seed as usize % 3]);
+        sim.platform.revisions.era = u64::from(seed % 3 == 2);
         for vm in 0..sim.setup.locations.len() {
             let state = Vm::new(vm, &sim.setup, &mut sim.rng);
             sim.addresses.insert(state.address, vm);
@@ -260,6 +269,7 @@
                 }
             }
             SimEvent::Platform(call) => self.execute_call(call),
+            SimEvent::Store(event) => self.handle_store_event(event),
             SimEvent::Grant(target, process, sequence, grants) => {
                 self.receive_grant(target, process, sequence, grants);
             }
@@ -350,14 +360,8 @@
         self.reply(responder, requester, Event::TableReceived(table));
     }
 
-    fn receive_grant(
-        &mut self,
-        target: usize,
-        process: u64,
-        sequence: u64,
-        grants: Option<Grants>,
-    ) {
-        let target = &mut self.targets[target];
+    fn receive_grant(&mut self, index: usize, process: u64, sequence: u64, grants: Option<Grants>) {
+        let target = &mut self.targets[index];
         let vm = target.vm;
         if target.ended {
             return;
@@ -367,6 +371,9 @@
             if grant_number > target.newest_grant {
                 target.newest_grant = grant_number;
                 target.grants = Some(grants);
+                if self.setup.restores_store {
+                    self.check_granted_epochs(index);
+                }
             }
         } else {
             target.grants = None;
@@ -389,6 +396,30 @@
         self.check_targets();
     }
 
+    /// Checks that a target gets a shard only under a higher epoch than any other target had.
+    fn check_granted_epochs(&mut self, index: usize) {
+        let target = &self.targets[index];
+        let now = self.vms[target.vm].clock.local(self.now);
+        let Some(grants) = target.grants.as_ref().filter(|g| now < g.until) else {
+            return;
+        };
+        let mut reused = None;
+        for &(shard, epoch) in &grants.shards {
+            let highest = self.granted_epochs.entry(shard).or_insert((epoch, index));
+            if highest.1 != index && epoch <= highest.0 {
+                reused = Some((shard, epoch, *highest));
+            }
+            if epoch >= highest.0 {
+                *highest = (epoch, index);
+            }
+        }
+        if let Some((shard, epoch, (highest, other))) = reused {
+            self.record_violation(format!(
+                "target {index} gets shard {shard} with epoch {epoch}; target {other} had it with {highest}"
+            ));
+        }
+    }
+
     /// Checks that no key is served by more than one process.
     fn check_keys(&mut self) {
         for key in faults::KEYS {
--- a/crates/ownership/tests/sim/platform.rs
+++ b/crates/ownership/tests/sim/platform.rs
@@ -10,6 +10,7 @@
 use masticdeal_ownership::table::{self, Table};
 use rand::RngExt;
 
+use super::restorable_store::{Request, Revisions};
 use super::{SimEvent, Simulation, ms};
 
 /// State of the store.
@@ -18,6 +19,8 @@
     /// Time-out of a call.
     pub timeout: Duration,
     pub table: Arc<Table>,
+    /// Used with [`Setup::restores_store`](super::Setup::restores_store).
+    pub revisions: Revisions,
     pub down_until: Duration,
     pub slow_until: Duration,
     pub lossy_until: Duration,
@@ -48,6 +51,13 @@
 impl Simulation {
     /// Sends a call to the store.
     pub fn call_platform(&mut self, vm: usize, kind: CallKind) {
+        if self.setup.restores_store {
+            match kind {
+                CallKind::Read(read) => self.request_store(vm, Request::Read(read)),
+                CallKind::Swap(change_id, next) => self.swap_by_revision(vm, change_id, next),
+            }
+            return;
+        }
         let (process, sent) = (self.vms[vm].process, self.now);
         let call = Call {
             vm,
@@ -75,7 +85,7 @@
         self.schedule(delay, SimEvent::Platform(call));
     }
 
-    fn platform_delay(&mut self) -> Duration {
+    pub(super) fn platform_delay(&mut self) -> Duration {
         let slow = self.now < self.platform.slow_until && self.rng.random_bool(0.6);
         match slow {
             true => ms(self.rng.random_range(0..1125)),
@@ -115,7 +125,7 @@
         }
     }
 
-    fn loses_response(&mut self) -> bool {
+    pub(super) fn loses_response(&mut self) -> bool {
         self.now < self.platform.lossy_until && self.rng.random_bool(0.6)
     }
 
@@ -130,13 +140,7 @@
         if let Err(violation) = checked {
             self.record_violation(format!("platform: {violation}"));
         }
-        if self.setup.check_invariants {
-            let bytes = table::encode(&next).expect("table encodes");
-            let round_trips = table::decode(&bytes).is_ok_and(|decoded| decoded == *next);
-            if !round_trips {
-                self.record_violation("table changes when it is encoded and decoded".into());
-            }
-        }
+        self.check_codec(&next);
         self.platform.table = next.clone();
         for vm in 0..self.vms.len() {
             // The updates for daemons that watch the store can be lost like responses.
@@ -156,6 +160,17 @@
         }
         Outcome::Done
     }
+
+    /// Checks that the table stays the same when it is encoded and decoded.
+    pub(super) fn check_codec(&mut self, table: &Table) {
+        if self.setup.check_invariants {
+            let bytes = table::encode(table).expect("table encodes");
+            let round_trips = table::decode(&bytes).is_ok_and(|decoded| decoded == *table);
+            if !round_trips {
+                self.record_violation("table changes when it is encoded and decoded".into());
+            }
+        }
+    }
 }
 
 /// Returns the event that a process gets when its call times out.
--- a/crates/ownership/tests/sim/seeds.rs
+++ b/crates/ownership/tests/sim/seeds.rs
@@ -4,8 +4,14 @@
 use proptest::strategy::{Strategy, ValueTree};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
 use super::{Broken, Fault, Setup, SimEvent, Simulation, ms};
 
+/// Separates the random numbers of the restores from those of the run.
+const RESTORE_SEED: u64 = 1 << 63;
+
 /// Returns a setup whose clocks deviate by up to 5%, with the drift bound set to match.
 pub fn setup(vms: usize, disabled_rule: Option<Rule>) -> Setup {
     let base = Setup::default();
@@ -59,6 +65,62 @@
     tree.expect("plan is generated").current()
 }
 
+/// Returns the plan of a seed with up to three restores of the store among its other faults.
+pub fn restore_plan(seed: u64) -> Vec<(u64, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut at_ms = 0;
+    let mut plan = plan_for_seed(seed, vm_count(seed));
+    for (delay, _) in &mut plan {
+        at_ms += *delay;
+        *delay = at_ms;
+    }
+    for _ in 0..rng.random_range(1..=3) {
+        let oldest_ms = [300, 2_000, 8_000][rng.random_range(0..3)];
+        let age_ms = rng.random_range(0..oldest_ms);
+        let away_ms = rng.random_range(0..2_500);
+        let fault = Fault::RestoreStore(age_ms, away_ms);
+        plan.push((rng.random_range(0..=at_ms), fault));
+    }
+    plan.sort_by_key(|(at, _)| *at);
+    let mut previous = 0;
+    for (delay, _) in &mut plan {
+        let at = std::mem::replace(&mut previous, *delay);
+        *delay -= at;
+    }
+    plan
+}
+
+/// Runs a plan of a seed against a store that may come back from an older copy. Targets of odd
+/// seeds report an incarnation.
+pub fn run_restore_plan(
+    seed: u64,
+    disabled_rule: Option<Rule>,
+    plan: &[(u64, Fault)],
+) -> Result<(), Broken> {
+    let mut setup = Setup {
+        report_incarnations: seed % 2 == 1,
+        restores_store: true,
+        ..setup(vm_count(seed), disabled_rule)
+    };
+    setup.settings.lessors = lessor_count(seed);
+    run_plan(setup, seed, plan)
+}
+
+/// Runs a seed with restores of the store.
+pub fn run_seed_with_restores(seed: u64, disabled_rule: Option<Rule>) -> Result<(), Broken> {
+    run_restore_plan(seed, disabled_rule, &restore_plan(seed))
+}
+
+fn vm_count(seed: u64) -> usize {
+    3 + (seed / 3 % 3) as usize
+}
+
+/// Returns the number of lessors. Every seventh seed uses one instead of two; the invariants must
+/// hold then too.
+fn lessor_count(seed: u64) -> usize {
+    if seed % 7 == 6 { 1 } else { 2 }
+}
+
 /// Runs a seed with targets that report no incarnation.
 pub fn run_seed(seed: u64, disabled_rule: Option<Rule>) -> Result<(), Broken> {
     run_seed_with_incarnations(seed, disabled_rule, false)
@@ -70,12 +132,11 @@
     disabled_rule: Option<Rule>,
     report_incarnations: bool,
 ) -> Result<(), Broken> {
-    let vms = 3 + (seed / 3 % 3) as usize;
+    let vms = vm_count(seed);
     let mut setup = Setup {
         report_incarnations,
         ..setup(vms, disabled_rule)
     };
-    // Every seventh seed uses one lessor instead of two. The invariants must hold then too.
-    setup.settings.lessors = if seed % 7 == 6 { 1 } else { 2 };
+    setup.settings.lessors = lessor_count(seed);
     run_plan(setup, seed, &plan_for_seed(seed, vms))
 }
--- a/crates/ownership/tests/sim/vm.rs
+++ b/crates/ownership/tests/sim/vm.rs
@@ -2,17 +2,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticdeal_ownership::ids::SessionId;
 use masticdeal_ownership::lease::{
     Core, DeclaredService, Effect, Event, HeldShard, Identity, MoveWriter, TargetReport,
 };
-use masticdeal_ownership::table::TargetState;
+use masticdeal_ownership::table::{Table, TargetState};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
 use super::platform::CallKind;
+use super::restorable_store::StoreView;
 use super::{Setup, SimEvent, Simulation, ms};
 
 /// A clock that counts the time since boot at its own rate, which is valid from a given instant on.
@@ -76,6 +78,9 @@
     pub events_handled: u64,
     /// Whether the process was ended and no other has started since.
     pub process_ended: bool,
+    pub store: StoreView,
+    /// Newest table of the current process.
+    pub(super) newest_table: Arc<Table>,
     /// Number of restarts of the target.
     pub target_restarts: u64,
 }
@@ -108,6 +113,8 @@
             sessions_ended: 0,
             events_handled: 0,
             process_ended: false,
+            store: StoreView::default(),
+            newest_table: Arc::default(),
             target_restarts: 0,
         }
     }
@@ -131,6 +138,8 @@
         vm.pending_drains.clear();
         vm.requested_moves.clear();
         vm.open_renewals.clear();
+        vm.store = StoreView::default();
+        vm.newest_table = Arc::default();
         vm.target = TargetState::Ready;
         vm.core = Some(Core::new(
             settings,
@@ -207,6 +216,8 @@
             "the next deadline {deadline:?} is not after the current time {local:?}"
         );
         let process = vm.process;
+        self.check_installed(index);
+        let vm = &mut self.vms[index];
         match vm.stall.take_if(|_| !effects.is_empty()) {
             Some((stall, freeze)) => {
                 if freeze {
@@ -319,9 +330,12 @@
             Effect::GrantsChanged => {
                 self.send_grants(index);
             }
-            Effect::CollectTables { .. } | Effect::RestoreTable { .. } => {
-                unreachable!("the simulated store never loses writes")
-            }
+            Effect::CollectTables { version } => self.collect_tables(index, version),
+            Effect::RestoreTable {
+                change_id,
+                stored_version,
+                next,
+            } => self.write_restored_table(index, change_id, stored_version, next),
             Effect::Ended(_) => self.vms[index].sessions_ended += 1,
             Effect::LogDecision(_) | Effect::Joined(_) => {}
         }
@@ -340,13 +354,9 @@
         }
     }
 
-    /// Sends a table to the other processes if it is the newest one.
-    fn disseminate_table(
-        &mut self,
-        index: usize,
-        table: &std::sync::Arc<masticdeal_ownership::table::Table>,
-    ) {
-        if table.version != self.platform.table.version {
+    /// Sends a table to the other processes if the store has no newer one.
+    fn disseminate_table(&mut self, index: usize, table: &Arc<Table>) {
+        if table.version < self.platform.table.version {
             return;
         }
         for to in 0..self.vms.len() {
