--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -44,6 +44,33 @@
     }
 }
 
+/// A fault of the restoration, and a seed that showed it.
+struct RestorationFault {
+    seed: u64,
+    what: &'static str,
+}
+
+const fn fault(seed: u64, what: &'static str) -> RestorationFault {
+    RestorationFault { seed, what }
+}
+
+const RESTORATION_FAULTS: [RestorationFault; 4] = [
+    fault(191, "second restore gives out the epochs of the first"),
+    fault(209, "second restore gives out the epochs of the first"),
+    fault(547, "second restore gives out the epochs of the first"),
+    fault(873, "second restore gives out the epochs of the first"),
+];
+
+/// Guards against the faults that random runs with a restored store have shown.
+#[test]
+fn faults_of_the_restoration_do_not_return() {
+    for RestorationFault { seed, what } in RESTORATION_FAULTS {
+        if let Err(violation) = run_seed_with_restores(seed, None) {
+            panic!("seed {seed}, {what}: {violation:?}");
+        }
+    }
+}
+
 fn run_random_faults(seed: [u8; 32], cases: u32, report_incarnations: bool) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let config = Config {
