Accept an unassigned shard without its epoch in a new era

A daemon aborted (`ownership invariant violated: epoch of shard 0 of service 0 did not increase with a change of its owner`) when the store came back from a copy of before the service was declared, and a process without any knowledge of the lost table had restored that copy.

Cause: such a table declares the service again, with epoch 0 and no owner. The check took every lower epoch for a reused one. Ruled out: a reused epoch; the next assignment gets the next version as its epoch, and the version of a restored table is above all earlier ones, which the check requires as well. Ruled out: another first epoch in `Change::DeclareService`, because epoch 0 marks a service that was never assigned and still gathers its targets.

Change: between tables of different eras, a shard without an owner may have any epoch. A shard with an owner must have a higher one, as before.

--- a/crates/ownership/src/checker.rs
+++ b/crates/ownership/src/checker.rs
@@ -123,7 +123,8 @@
 }
 
 /// Checks a table against the one that it replaces at the same daemon: the version must not
-/// decrease, and a shard that is assigned again must get a higher epoch.
+/// decrease, and a shard that is assigned again must get a higher epoch. In a new era of the store,
+/// an unassigned shard may lack its earlier epoch: its next one is above all of the earlier versions.
 ///
 /// # Errors
 ///
@@ -139,7 +140,8 @@
             .zip(&new_service.shards)
             .enumerate()
         {
-            let unassigned = new_shard.owner.is_none() && old_shard.epoch == new_shard.epoch;
+            let same_epoch = old_shard.epoch == new_shard.epoch;
+            let unassigned = new_shard.owner.is_none() && (same_epoch || new.era > old.era);
             let unchanged = old_shard == new_shard;
             if !(unassigned || unchanged || new_shard.epoch > old_shard.epoch) {
                 let shard = ShardId(shard as u32);
