Restore the table again when a write of an earlier era replaced it

After a restore of the store, no daemon could write the table any more: shards of lost daemons stayed without an owner until the next era.

Cause: the store gives out revisions again, and a write that was sent before the restore and takes effect late names only a revision. It replaced the restored table by one of the earlier era. Daemons hold a newer table, so they took the stored one for an old reply, and each swap conflicted. The class of fault: a compare-and-swap on a revision was taken to name one value, whatever the store's history. Ruled out in the core: a condition that names the era as well, because the store's interface has none.

Change: a read in the store's era that shows a table of an earlier era starts the restoration again, with a smaller gap, so that the counters stay below those of the next era. A read that shows a table of the store's era ends it.

--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -29,8 +29,6 @@
 /// Restoration in progress.
 #[derive(Debug)]
 pub(super) struct Restoration {
-    /// Era of the store that the table has not been written in.
-    era: u64,
     /// When this process learned of the era.
     since: Duration,
     /// Version of the copy of the table in the store, once it was read in this era.
@@ -52,17 +50,20 @@
         }
         self.store_era = era;
         if self.table.era < era {
-            self.restoration = Some(Restoration {
-                era,
-                since: now,
-                stored_version: None,
-                collected: None,
-                not_before: now,
-                write: None,
-            });
+            self.start_restoration(now);
         }
     }
 
+    fn start_restoration(&mut self, now: Duration) {
+        self.restoration = Some(Restoration {
+            since: now,
+            stored_version: None,
+            collected: None,
+            not_before: now,
+            write: None,
+        });
+    }
+
     /// Ends the restoration once a table of the newest era is installed.
     pub(super) fn finish_restoration(&mut self) {
         if self.table.era >= self.store_era {
@@ -72,10 +73,22 @@
     }
 
     /// Records the version of the stored table, read in `store_era`.
+    ///
+    /// If the stored table is of an earlier era than the own one, a write of that era took effect on
+    /// a revision that was given out again. The table is then restored once more.
     pub(super) fn record_stored_version(&mut self, now: Duration, store_era: u64, table: &Table) {
-        if let Some(restoration) = &mut self.restoration
-            && restoration.era == store_era
-        {
+        if store_era != self.store_era {
+            return;
+        }
+        let is_overwritten = table.era < store_era;
+        if self.table.era >= store_era {
+            match &self.restoration {
+                None if is_overwritten => self.start_restoration(now),
+                Some(_) if !is_overwritten => self.restoration = None,
+                _ => {}
+            }
+        }
+        if let Some(restoration) = &mut self.restoration {
             restoration.stored_version = Some(table.version);
             restoration.not_before = now;
         }
--- a/crates/ownership/src/restoration.rs
+++ b/crates/ownership/src/restoration.rs
@@ -13,6 +13,10 @@
 /// more than a minute to reach it.
 const COUNTER_GAP: u32 = 1 << 16;
 
+/// Added instead if a table of the store's era was overwritten by one of an earlier era. The counters
+/// then stay below those of the next era.
+const OVERWRITTEN_GAP: u32 = 1 << 12;
+
 /// Maximum number of eras that raise the counters, which keeps 32-bit counters from overflowing if
 /// the store's first era has a high number.
 const MAX_ERAS: u64 = 1 << 12;
@@ -21,7 +25,10 @@
 /// `stored_version` the version of the copy in the store.
 pub fn restored_table(newest: &Table, stored_version: u64, era: u64, change: ChangeId) -> Table {
     let mut table = newest.clone();
-    let gap = COUNTER_GAP * (era - newest.era).min(MAX_ERAS) as u32;
+    let gap = match era - newest.era {
+        0 => OVERWRITTEN_GAP,
+        eras => COUNTER_GAP * eras.min(MAX_ERAS) as u32,
+    };
     table.era = era;
     table.version = newest.version.max(stored_version) + u64::from(gap);
     table.next_session += gap;
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -54,7 +54,9 @@
     RestorationFault { seed, what }
 }
 
-const RESTORATION_FAULTS: [RestorationFault; 6] = [
+const RESTORATION_FAULTS: [RestorationFault; 8] = [
+    fault(10449, "table of an earlier era overwrites the restored one"),
+    fault(11224, "table of an earlier era overwrites the restored one"),
     fault(
         85,
         "daemon aborts on a table that lost the epoch of an unassigned shard",
