--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -54,9 +54,7 @@
     RestorationFault { seed, what }
 }
 
-const RESTORATION_FAULTS: [RestorationFault; 8] = [
-    fault(10449, "table of an earlier era overwrites the restored one"),
-    fault(11224, "table of an earlier era overwrites the restored one"),
+const RESTORATION_FAULTS: [RestorationFault; 10] = [
     fault(
         85,
         "daemon aborts on a table that lost the epoch of an unassigned shard",
@@ -69,6 +67,10 @@
     fault(209, "second restore gives out the epochs of the first"),
     fault(547, "second restore gives out the epochs of the first"),
     fault(873, "second restore gives out the epochs of the first"),
+    fault(10449, "table of an earlier era overwrites the restored one"),
+    fault(11224, "table of an earlier era overwrites the restored one"),
+    fault(20312, "table of an earlier era overwrites the restored one"),
+    fault(20843, "table of an earlier era overwrites the restored one"),
 ];
 
 /// Guards against the faults that random runs with a restored store have shown.
