Gather targets again after the restoration of an empty table

Two targets held the same shard (OWNER) after the store came back from a copy of before the fleet's first table: seed 20906, "targets 1 and 3 both hold a valid grant for shard 3", 16 ms after a new daemon had written the empty table.

Cause: the targets of a service are gathered for 500 ms before its first assignment, but a member of before the restore kept the time at which it had first seen a ready target, and assigned all shards at once. Targets of sessions that the restored table does not know held their grants for up to a lease. The class of fault: knowledge of an earlier history of the store was used for the new one.

Change: the gathering starts anew with the first table of a new era. A service that the restored table shows as assigned does not gather, as before.

Before: model -- restored SEED 1 breaks for 6378 ("sessions 1 and 65537 both serve shard 1") and 20906; now neither does.

--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -112,6 +112,10 @@
         self.releases.retain_current(self.session, &table);
         self.drop_stale_join_requests(now);
         self.install_shards(now, &old, delta);
+        if table.era > old.era {
+            // Targets that the restored table does not know may hold grants for a lease.
+            self.gathering_since.clear();
+        }
         self.update_swap_conditions(now);
         self.effects.push(Effect::TableChanged(table));
     }
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -54,7 +54,7 @@
     RestorationFault { seed, what }
 }
 
-const RESTORATION_FAULTS: [RestorationFault; 10] = [
+const RESTORATION_FAULTS: [RestorationFault; 12] = [
     fault(
         85,
         "daemon aborts on a table that lost the epoch of an unassigned shard",
@@ -67,10 +67,18 @@
     fault(209, "second restore gives out the epochs of the first"),
     fault(547, "second restore gives out the epochs of the first"),
     fault(873, "second restore gives out the epochs of the first"),
+    fault(
+        6378,
+        "shards are assigned at once after a restore of an empty table",
+    ),
     fault(10449, "table of an earlier era overwrites the restored one"),
     fault(11224, "table of an earlier era overwrites the restored one"),
     fault(20312, "table of an earlier era overwrites the restored one"),
     fault(20843, "table of an earlier era overwrites the restored one"),
+    fault(
+        20906,
+        "shards are assigned at once after a restore of an empty table",
+    ),
 ];
 
 /// Guards against the faults that random runs with a restored store have shown.
