--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -7,7 +7,7 @@
 use proptest::strategy::Strategy;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 use sim::Setup;
-use sim::seeds::{run_plan, run_seed, setup};
+use sim::seeds::{run_plan, run_seed, run_seed_with_restores, setup};
 
 /// Guards against processes that each assume to be the only remaining one and never receive a newer
 /// table. With this seed, three processes stayed in that state, and no shard was served after
@@ -33,6 +33,64 @@
     run_random_faults([8; 32], 60, true);
 }
 
+/// Guards against two owners, or an epoch that does not rise, after the store came back from an
+/// older copy.
+#[test]
+fn invariants_hold_with_restored_store() {
+    for seed in 0..60 {
+        if let Err(violation) = run_seed_with_restores(seed, None) {
+            panic!("seed {seed}: {violation:?}");
+        }
+    }
+}
+
+/// A fault of the restoration, and a seed that showed it.
+struct RestorationFault {
+    seed: u64,
+    what: &'static str,
+}
+
+const fn fault(seed: u64, what: &'static str) -> RestorationFault {
+    RestorationFault { seed, what }
+}
+
+const RESTORATION_FAULTS: [RestorationFault; 12] = [
+    fault(
+        85,
+        "daemon aborts on a table that lost the epoch of an unassigned shard",
+    ),
+    fault(
+        265,
+        "daemon aborts on a table that lost the epoch of an unassigned shard",
+    ),
+    fault(191, "second restore gives out the epochs of the first"),
+    fault(209, "second restore gives out the epochs of the first"),
+    fault(547, "second restore gives out the epochs of the first"),
+    fault(873, "second restore gives out the epochs of the first"),
+    fault(
+        6378,
+        "shards are assigned at once after a restore of an empty table",
+    ),
+    fault(10449, "table of an earlier era overwrites the restored one"),
+    fault(11224, "table of an earlier era overwrites the restored one"),
+    fault(20312, "table of an earlier era overwrites the restored one"),
+    fault(20843, "table of an earlier era overwrites the restored one"),
+    fault(
+        20906,
+        "shards are assigned at once after a restore of an empty table",
+    ),
+];
+
+/// Guards against the faults that random runs with a restored store have shown.
+#[test]
+fn faults_of_the_restoration_do_not_return() {
+    for RestorationFault { seed, what } in RESTORATION_FAULTS {
+        if let Err(violation) = run_seed_with_restores(seed, None) {
+            panic!("seed {seed}, {what}: {violation:?}");
+        }
+    }
+}
+
 fn run_random_faults(seed: [u8; 32], cases: u32, report_incarnations: bool) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let config = Config {
