--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -231,7 +231,7 @@
             }
         };
         let key = self.node.protocol.config.key;
-        let outcome = self.platform.swap(key, stored.revision, bytes, None).await;
+        let outcome = self.platform.swap(key, stored.position, bytes, None).await;
         log::warn!(stored = stored.value.revision, revision = next.revision, outcome:?;
             "wrote the configuration back to the platform store, which had lost it");
         if matches!(outcome, SwapOutcome::Applied { .. }) {
