Do not repeat an unresolved swap in a restored store

A daemon whose write got no reply before the platform store was restored read the store and pulled the tables of all sessions every 5 ms, until another daemon had written the table back (up to a lease later).

Cause: a pending swap was read back during a restoration as well. A read of the copy shows neither the base version nor the outcome, so the next read followed at once; each read also ended the pause before the next collection. With the base version in the copy, the same swap was sent again, against the rule that no other swap starts before the table of the new era. The class of fault: what a read shows was taken for the store's whole history.

Change: a pending swap waits for the end of the restoration. The restored table resolves it.

Evidence: unresolved_swap_is_not_repeated_in_a_restored_store fails before (115 swaps in the restored store, 116 reads) and passes now, as do the other tests of the crate.

--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -153,6 +153,10 @@
             Some(_) => self.restoration_due_at(),
             None => swap,
         };
+        let writer = match &self.restoration {
+            Some(_) => self.writer.read_deadline(),
+            None => self.writer.next_deadline(),
+        };
         let queries = self.lessees.next_query_at(&self.settings);
         let queries = queries.map(|at| at.max(not_before)).filter(|_| !reading);
         let self_renewal = self.self_renewal_read_at();
@@ -170,7 +174,7 @@
             queries,
             self_renewal,
             settling,
-            self.writer.next_deadline(),
+            writer,
         ]
         .into_iter()
         .flatten()
--- a/crates/ownership/src/lease/schedule.rs
+++ b/crates/ownership/src/lease/schedule.rs
@@ -32,7 +32,10 @@
         self.settling_until.retain(|_, until| now < *until);
         self.send_renewals(now);
         self.release_leaving_shards();
-        if let Some(effect) = self.writer.read_back(now, &self.settings) {
+        // A restored store may have lost the base version of a pending swap, or versions after it.
+        if self.restoration.is_none()
+            && let Some(effect) = self.writer.read_back(now, &self.settings)
+        {
             self.effects.push(effect);
         }
         self.send_expiry_queries(now);
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -282,8 +282,8 @@
     /// Returns when the read in flight or the pending swap times out, or when a pending swap may be
     /// resolved.
     pub fn next_deadline(&self) -> Option<Duration> {
-        if let Some((_, at)) = self.read_in_flight {
-            return Some(at + PLATFORM_TIMEOUT);
+        if let Some(at) = self.read_deadline() {
+            return Some(at);
         }
         let pending = self.pending.as_ref()?;
         Some(match pending.needs_read_back {
@@ -292,6 +292,12 @@
         })
     }
 
+    /// Returns when the read in flight times out.
+    pub fn read_deadline(&self) -> Option<Duration> {
+        let (_, at) = self.read_in_flight?;
+        Some(at + PLATFORM_TIMEOUT)
+    }
+
     pub fn is_reading(&self) -> bool {
         self.read_in_flight.is_some()
     }
