Show that the wait of a lease in the restoration is needed

RestorationWait can be left out like the other rules, and each_rule_is_needed has a seed for it: 3234, "sessions 2 and 3 both serve shard 0 of service 0" without it, nothing broken with it.

--- a/crates/ownership/examples/model.rs
+++ b/crates/ownership/examples/model.rs
@@ -21,7 +21,7 @@
 use sim::{Broken, Fault};
 
 /// Every rule that can be disabled.
-const RULES: [Rule; 15] = [
+const RULES: [Rule; 16] = [
     Rule::CountFromSend,
     Rule::DriftBound,
     Rule::LessorNeedsLease,
@@ -37,6 +37,7 @@
     Rule::ReadBack,
     Rule::GrantEnd,
     Rule::CountFromSwapStart,
+    Rule::RestorationWait,
 ];
 
 fn main() -> ExitCode {
@@ -106,7 +107,12 @@
     let Some(rule) = RULES.into_iter().find(|rule| format!("{rule:?}") == name) else {
         return usage();
     };
-    let violations = seeds.filter_map(|seed| Some((seed, run_seed(seed, Some(rule)).err()?)));
+    // Only a run with restores can violate the rule of the restoration.
+    let run = match rule {
+        Rule::RestorationWait => run_seed_with_restores,
+        _ => run_seed,
+    };
+    let violations = seeds.filter_map(|seed| Some((seed, run(seed, Some(rule)).err()?)));
     for (seed, violation) in violations.take(3) {
         println!("{name}: seed {seed}: {violation:?}");
     }
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -96,6 +96,8 @@
     GrantEnd,
     /// R12: a lease obtained by a swap counts from the start of the swap
     CountFromSwapStart,
+    /// Without a reply of each session, a restored table is written only after a lease
+    RestorationWait,
 }
 
 /// Identity of this daemon.
--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::api::Effect;
+use super::api::{Effect, Rule};
 use super::core::Core;
 use super::lessee::lessor_lease_length;
 use crate::ids::ChangeId;
@@ -141,7 +141,8 @@
         if now < due_at || self.writer.is_ending() {
             return true;
         }
-        let lease_passed = self.lease_passed_at().is_some_and(|at| now >= at);
+        let lease_passed = self.lease_passed_at().is_some_and(|at| now >= at)
+            || self.settings.disabled_rule == Some(Rule::RestorationWait);
         let is_member = self.session.is_some();
         let Some(restoration) = &mut self.restoration else {
             return false;
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -162,5 +162,12 @@
             panic!("with every rule, seed {seed}: {violation:?}");
         }
     }
+    let (rule, seed) = (Rule::RestorationWait, 3234);
+    if run_seed_with_restores(seed, Some(rule)).is_ok() {
+        undetected.push((rule, seed));
+    }
+    if let Err(violation) = run_seed_with_restores(seed, None) {
+        panic!("with every rule, seed {seed}: {violation:?}");
+    }
     assert!(undetected.is_empty(), "no violation without {undetected:?}");
 }
