Take a write in an unknown era of the store for unresolved

Cause: a daemon wrote the restored table of era 3; the store came back once more before the write arrived, the copy had the revision that the write names, and the write took effect in era 4. Its reply counted as success, so the daemon installed and passed on a table that had the same version as the one of era 3 with other content, and wrote the next version.

Change: a write whose reply shows another era than that of the revision is unresolved. The daemon reads the table, learns the era with it, and restores again. The simulated daemon does the same.

--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -41,7 +41,8 @@
     /// Nothing was written: the stored table has another version, or could not be read before the
     /// write, or the new table could not be encoded. Contains the stored table if it could be read.
     Conflict(Option<Table>),
-    /// No reply: the swap may have taken effect, or may still do so.
+    /// No reply: the swap may have taken effect, or may still do so. Or it took effect in an era of
+    /// the store that this daemon did not know.
     Unknown,
 }
 
@@ -127,10 +128,10 @@
     /// Replaces the table by `next` if the stored version is the one that `delta` was applied to.
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
-        let Some(revision) = self.revision_of(base).await else {
+        let Some(position) = self.position_of(base).await else {
             return SwapResult::Conflict(self.read_table().await);
         };
-        self.write(revision, next).await
+        self.write(position, next).await
     }
 
     /// Replaces the table by `next` in the era of `next` if the stored version is `stored_version`.
@@ -138,12 +139,12 @@
         let stored = *self.stored.lock().unwrap();
         let stored = stored.filter(|s| s.version == stored_version && s.position.era == next.era);
         match stored {
-            Some(stored) => self.write(stored.position.revision, next).await,
+            Some(stored) => self.write(stored.position, next).await,
             None => SwapResult::Conflict(None),
         }
     }
 
-    async fn write(&self, expected_revision: u64, next: &Table) -> SwapResult {
+    async fn write(&self, expected: Position, next: &Table) -> SwapResult {
         let bytes = match table::encode(next) {
             Ok(bytes) => Bytes::from(bytes),
             Err(e) => {
@@ -151,11 +152,16 @@
                 return SwapResult::Conflict(None);
             }
         };
-        match self.relay.swap(expected_revision, bytes).await {
+        match self.relay.swap(expected.revision, bytes).await {
             StoreReply::Done { era, revision } => {
                 self.record_reply();
                 self.record_stored(next.version, Position::new(era, revision));
-                SwapResult::Done
+                // In a new era, the revision may be that of another table.
+                if era == expected.era {
+                    SwapResult::Done
+                } else {
+                    SwapResult::Unknown
+                }
             }
             StoreReply::Conflict(_) => SwapResult::Conflict(self.read_table().await),
             _ => SwapResult::Unknown,
@@ -167,19 +173,19 @@
         Some(table)
     }
 
-    /// Returns the platform's revision of a version of the table. Returns `None` when the stored
-    /// table has another version or cannot be read.
-    async fn revision_of(&self, version: u64) -> Option<u64> {
+    /// Returns the platform's revision of a version of the table, with its era. Returns `None` when
+    /// the stored table has another version or cannot be read.
+    async fn position_of(&self, version: u64) -> Option<Position> {
         let cached = *self.stored.lock().unwrap();
         if let Some(stored) = cached
             && stored.version == version
             && stored.position.era >= self.relay.era()
         {
-            return Some(stored.position.revision);
+            return Some(stored.position);
         }
         let table = self.read_table().await?;
         let stored = (*self.stored.lock().unwrap())?;
-        (table.version == version).then_some(stored.position.revision)
+        (table.version == version).then_some(stored.position)
     }
 
     /// Records a version with its revision. Replies may arrive out of order, so an older revision
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -174,7 +174,8 @@
     Done,
     /// The swap did not and will not take effect.
     Conflict,
-    /// No reply: the swap may have taken effect, or may still do so.
+    /// No reply: the swap may have taken effect, or may still do so. Or it took effect in another era
+    /// of the store than that in which the base version was read.
     Unknown,
 }
 
--- a/crates/ownership/tests/sim/restorable_store.rs
+++ b/crates/ownership/tests/sim/restorable_store.rs
@@ -72,10 +72,10 @@
     Watch,
     /// A read after a conflict.
     ReadConflict(ChangeId),
-    /// A swap on condition that the table has the revision.
-    Write(ChangeId, Arc<Table>, u64),
+    /// A swap on condition that the table has the revision, which was read in the era.
+    Write(ChangeId, Arc<Table>, (u64, u64)),
     /// As `Write`, for the table after a restore.
-    Restore(ChangeId, Arc<Table>, u64),
+    Restore(ChangeId, Arc<Table>, (u64, u64)),
 }
 
 impl Request {
@@ -173,7 +173,7 @@
         let base = next.version - 1;
         match view.stored {
             Some((era, revision, version)) if version == base && era >= view.era => {
-                self.request_store(vm, Request::Write(change, next, revision));
+                self.request_store(vm, Request::Write(change, next, (era, revision)));
             }
             _ => self.request_store(vm, Request::ReadRevision(change, next)),
         }
@@ -188,7 +188,7 @@
     ) {
         match self.vms[vm].store.stored {
             Some((era, revision, version)) if version == stored_version && era == next.era => {
-                self.request_store(vm, Request::Restore(change_id, next, revision));
+                self.request_store(vm, Request::Restore(change_id, next, (era, revision)));
             }
             _ => {
                 let outcome = Outcome::Conflict;
@@ -228,7 +228,7 @@
             return;
         }
         let table = match &request {
-            Request::Write(_, next, expected) | Request::Restore(_, next, expected) => {
+            Request::Write(_, next, (_, expected)) | Request::Restore(_, next, (_, expected)) => {
                 self.write(next, *expected)
             }
             _ => Some((self.platform.table.clone(), self.platform.revisions.table)),
@@ -351,8 +351,8 @@
             }
             (Request::Watch, Some((table, _))) => self.deliver(vm, Event::TableReceived(table)),
             (Request::ReadRevision(change, next), Some((table, _))) => match stored {
-                Some((_, revision, _)) if table.version + 1 == next.version => {
-                    self.request_store(vm, Request::Write(change, next, revision));
+                Some((era, revision, _)) if table.version + 1 == next.version => {
+                    self.request_store(vm, Request::Write(change, next, (era, revision)));
                 }
                 _ => {
                     self.deliver(vm, Event::TableReceived(table));
@@ -363,8 +363,16 @@
                 self.deliver(vm, Event::TableReceived(table));
                 self.report_swap(vm, change, Outcome::Conflict);
             }
-            (Request::Write(change, ..) | Request::Restore(change, ..), Some(_)) => {
-                self.report_swap(vm, change, Outcome::Done);
+            (
+                Request::Write(change, _, (read_in, _)) | Request::Restore(change, _, (read_in, _)),
+                Some(_),
+            ) => {
+                let outcome = if era == read_in {
+                    Outcome::Done
+                } else {
+                    Outcome::Unknown
+                };
+                self.report_swap(vm, change, outcome);
             }
             (Request::Write(change, ..), None) => {
                 self.request_store(vm, Request::ReadConflict(change));
