Write no table of an earlier era on a version of the copy

Cause: before a daemon writes a swap, it reads the revision of the base version if it does not know it. After a restore, the copy had that version with other content, and the swap was written, though the same read had shown the new era: the core learns the era a moment later. Two tables of one version were in use.

Change: a swap is written only if its table is of the era in which the revision was read; only the restored table is written in a new era. The simulated daemon does the same.

--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -128,7 +128,10 @@
     /// Replaces the table by `next` if the stored version is the one that `delta` was applied to.
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
-        let Some(position) = self.position_of(base).await else {
+        let position = self.position_of(base).await;
+        // Only a restored table is written in a new era. A copy may have the same version with
+        // other content.
+        let Some(position) = position.filter(|p| p.era == next.era) else {
             return SwapResult::Conflict(self.read_table().await);
         };
         self.write(position, next).await
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -54,7 +54,7 @@
     RestorationFault { seed, what }
 }
 
-const RESTORATION_FAULTS: [RestorationFault; 13] = [
+const RESTORATION_FAULTS: [RestorationFault; 14] = [
     fault(
         85,
         "daemon aborts on a table that lost the epoch of an unassigned shard",
--- a/crates/ownership/tests/sim/restorable_store.rs
+++ b/crates/ownership/tests/sim/restorable_store.rs
@@ -172,7 +172,9 @@
         let view = &self.vms[vm].store;
         let base = next.version - 1;
         match view.stored {
-            Some((era, revision, version)) if version == base && era >= view.era => {
+            Some((era, revision, version))
+                if version == base && era >= view.era && era == next.era =>
+            {
                 self.request_store(vm, Request::Write(change, next, (era, revision)));
             }
             _ => self.request_store(vm, Request::ReadRevision(change, next)),
@@ -351,7 +353,9 @@
             }
             (Request::Watch, Some((table, _))) => self.deliver(vm, Event::TableReceived(table)),
             (Request::ReadRevision(change, next), Some((table, _))) => match stored {
-                Some((era, revision, _)) if table.version + 1 == next.version => {
+                Some((era, revision, _))
+                    if table.version + 1 == next.version && era == next.era =>
+                {
                     self.request_store(vm, Request::Write(change, next, (era, revision)));
                 }
                 _ => {
