--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -40,7 +40,8 @@
     /// Nothing was written: the stored table has another version, or could not be read before the
     /// write, or the new table could not be encoded. Contains the stored table if it could be read.
     Conflict(Option<Table>),
-    /// No reply: the swap may have taken effect, or may still do so.
+    /// No reply: the swap may have taken effect, or may still do so. Or it took effect in an era of
+    /// the store that this daemon did not know.
     Unknown,
 }
 
@@ -127,10 +128,13 @@
     /// and the store has not come back from an older copy since the table was written.
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
-        match self.position_of(base).await {
-            Some(position) if position.era == next.era => self.write(position, next).await,
-            _ => SwapResult::Conflict(self.read_table().await),
-        }
+        let position = self.position_of(base).await;
+        // Only a restored table is written in a new era. A copy may have the same version with
+        // other content.
+        let Some(position) = position.filter(|p| p.era == next.era) else {
+            return SwapResult::Conflict(self.read_table().await);
+        };
+        self.write(position, next).await
     }
 
     /// Replaces the table by `next` in the era of `next` if the stored version is `stored_version`.
@@ -158,10 +162,10 @@
                 if era == expected.era {
                     return SwapResult::Done;
                 }
-                // The store came back from an older copy in which the condition held as well.
+                // In a new era, the revision may be that of another table.
                 log::warn!(table = next.version, expected = expected.era, era;
                     "table was written in a later era of the platform store");
-                SwapResult::Conflict(None)
+                SwapResult::Unknown
             }
             StoreReply::Conflict(_) => SwapResult::Conflict(self.read_table().await),
             _ => SwapResult::Unknown,
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -96,6 +96,8 @@
     GrantEnd,
     /// R12: a lease obtained by a swap counts from the start of the swap
     CountFromSwapStart,
+    /// Without a reply of each session, a restored table is written only after a lease
+    RestorationWait,
 }
 
 /// Identity of this daemon.
@@ -172,7 +174,8 @@
     Done,
     /// The swap did not and will not take effect.
     Conflict,
-    /// No reply: the swap may have taken effect, or may still do so.
+    /// No reply: the swap may have taken effect, or may still do so. Or it took effect in another era
+    /// of the store than that in which the base version was read.
     Unknown,
 }
 
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -54,7 +54,7 @@
     RestorationFault { seed, what }
 }
 
-const RESTORATION_FAULTS: [RestorationFault; 12] = [
+const RESTORATION_FAULTS: [RestorationFault; 14] = [
     fault(
         85,
         "daemon aborts on a table that lost the epoch of an unassigned shard",
@@ -79,6 +79,11 @@
         20906,
         "shards are assigned at once after a restore of an empty table",
     ),
+    fault(
+        29951,
+        "write takes effect in an era after that of its revision",
+    ),
+    fault(45995, "swap is based on the version of another era's copy"),
 ];
 
 /// Guards against the faults that random runs with a restored store have shown.
@@ -162,5 +167,12 @@
             panic!("with every rule, seed {seed}: {violation:?}");
         }
     }
+    let (rule, seed) = (Rule::RestorationWait, 3234);
+    if run_seed_with_restores(seed, Some(rule)).is_ok() {
+        undetected.push((rule, seed));
+    }
+    if let Err(violation) = run_seed_with_restores(seed, None) {
+        panic!("with every rule, seed {seed}: {violation:?}");
+    }
     assert!(undetected.is_empty(), "no violation without {undetected:?}");
 }
