End a response body at the deadline of its request

The deadline ended the wait for the head of a response only. A body without end, or one that never got on, was passed on until the caller left: the request outlasted the timeout of its route, and the slot and the connection to the target stayed taken. Bytes without a frame (zeros of a chunk size, say) ended it after 30 s, a trickled chunk postponed even that.

The body that owns the slot and the connection now ends with an error at the deadline, whether it waits or bytes are ready. The caller's response ends without its last chunk or its full length, as every truncated one.

Ruled out: a body that looks complete in any of these cases, on one hop or two.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -30,6 +30,8 @@
     TooLarge,
     /// no byte of the body was transferred within 30 s
     Stalled,
+    /// the deadline of the request passed within the body
+    Deadline,
     /// a later attempt took the body over
     Superseded,
 }
--- a/crates/daemon/src/owner/response_body.rs
+++ b/crates/daemon/src/owner/response_body.rs
@@ -45,17 +45,37 @@
 pub struct TargetBody {
     inner: Incoming,
     resources: Option<RequestResources>,
+    /// Deadline of the request, as time since boot.
+    deadline: Duration,
     /// Running while the next frame is awaited.
-    stall_timer: Option<Pin<Box<Sleep>>>,
+    timer: Option<FrameTimer>,
+}
+
+/// Bounds the wait for a frame. `error` is the error that the body ends with when it expires.
+struct FrameTimer {
+    sleep: Pin<Box<Sleep>>,
+    error: BodyError,
+}
+
+impl FrameTimer {
+    fn start(remaining: Duration) -> Self {
+        let (wait, error) = match remaining < STALL_TIMEOUT {
+            true => (remaining, BodyError::Deadline),
+            false => (STALL_TIMEOUT, BodyError::Stalled),
+        };
+        let sleep = Box::pin(sleep(wait));
+        Self { sleep, error }
+    }
 }
 
 impl TargetBody {
     /// Creates the body. If the response has no body, its resources are released at once.
-    pub fn new(inner: Incoming, resources: RequestResources) -> Self {
+    pub fn new(inner: Incoming, resources: RequestResources, deadline: Duration) -> Self {
         let mut body = Self {
             inner,
             resources: Some(resources),
-            stall_timer: None,
+            deadline,
+            timer: None,
         };
         body.complete_if_ended();
         body
@@ -69,11 +89,18 @@
         }
     }
 
-    fn poll_stall(&mut self, cx: &mut Context<'_>) -> Poll<BodyError> {
-        let stall_timer = self
-            .stall_timer
-            .get_or_insert_with(|| Box::pin(sleep(STALL_TIMEOUT)));
-        stall_timer.as_mut().poll(cx).map(|()| BodyError::Stalled)
+    /// Returns the time until the deadline; `None` after the end of the body.
+    fn remaining(&self) -> Option<Duration> {
+        let resources = self.resources.as_ref()?;
+        Some(self.deadline.saturating_sub(resources.node.clock.now()))
+    }
+
+    fn poll_timer(&mut self, remaining: Duration, cx: &mut Context<'_>) -> Poll<BodyError> {
+        let timer = self
+            .timer
+            .get_or_insert_with(|| FrameTimer::start(remaining));
+        let error = timer.error;
+        timer.sleep.as_mut().poll(cx).map(|()| error)
     }
 }
 
@@ -85,16 +112,21 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let remaining = self.remaining();
+        if remaining.is_some_and(|d| d.is_zero()) {
+            self.resources = None;
+            return Poll::Ready(Some(Err(BodyError::Deadline)));
+        }
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Pending => {
-                let stalled = self.poll_stall(cx);
-                stalled.map(|e| {
+                let expired = self.poll_timer(remaining.unwrap_or(STALL_TIMEOUT), cx);
+                expired.map(|e| {
                     self.resources = None;
                     Some(Err(e))
                 })
             }
             Poll::Ready(frame) => {
-                self.stall_timer = None;
+                self.timer = None;
                 match frame {
                     Some(Ok(frame)) => {
                         let bytes = frame.data_ref().map_or(0, Bytes::len);
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -377,7 +377,7 @@
             .into_iter()
             .filter(|(name, _)| !protocol.headers.is_set_by_daemon(name))
             .collect();
-        let body = TargetBody::new(response.into_body(), resources).boxed_unsync();
+        let body = TargetBody::new(response.into_body(), resources, self.deadline).boxed_unsync();
         Ok(TargetResponse {
             status,
             headers,
--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -201,6 +201,34 @@
     }
 }
 
+/// Guards against a body without end that outlasts the deadline of its request, or looks complete.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_body_is_cut_at_the_deadline() {
+    for (row, is_trickle) in BODIES.iter().flat_map(|row| [(row, false), (row, true)]) {
+        let fixture = Fixture::start(row, is_trickle).await;
+        for address in [fixture.ingress.caller_address, fixture.owner.caller_address] {
+            let deadline_ms = DEADLINE.as_millis().to_string();
+            let headers = [("x-masticdeal-deadline-ms", deadline_ms.as_str())];
+            let mut caller = Caller::connect(address).await;
+            let response = caller
+                .send(request("POST", "/search/1", &headers, ""))
+                .await;
+            let response = timeout(DEADLINE + SLACK, read(response)).await;
+            let name = &fixture.name;
+            // The request can fail before its head was passed on.
+            let end = response.map(|r| {
+                let (status, verdict, _) = r.status_verdict_reason();
+                (status, verdict == "MayHaveRun", r.body.is_ok())
+            });
+            let is_cut = matches!(end, Ok((200, _, false) | (502 | 504, true, _)));
+            expect_that!(is_cut, eq(true), "{name}: ended with {end:?}");
+            drop(caller);
+            fixture.expect_released().await;
+        }
+    }
+}
+
 /// Guards against a daemon that reads on from the target after the caller has left.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
