Abort an unread response at the deadline of its request

The body ends at its deadline only when it is polled, and the HTTP library does not poll a body that it can't send.

The detector of stalled callers now also aborts a response whose last frame is unread when the deadline of the request has passed.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -247,9 +247,12 @@
         let hop = HopSpan::start("ingress", head::traceparent(&parts.headers));
         hop.set_property("service", || head.service.clone());
         head.forward.traceparent = hop.traceparent();
+        let deadline = head.deadline.since_boot();
         let body = ReplayBody::new(incoming, self.node.settings.limits.max_body_bytes);
         match self.serve_with_retries(head, &body).await {
-            Ok(response) => reply::render_response(response, guard, &self.stall_detector, &id),
+            Ok(response) => {
+                reply::render_response(response, guard, &self.stall_detector, &id, deadline)
+            }
             Err(failure) => {
                 hop.set_property("failure", || failure.reason.as_str().to_owned());
                 reply::render_failure(failure, guard, &id)
--- a/crates/daemon/src/ingress/reply.rs
+++ b/crates/daemon/src/ingress/reply.rs
@@ -126,12 +126,13 @@
 }
 
 /// Builds the response for the caller from the target's response. The request is tracked until the
-/// end of the body.
+/// end of the body. `deadline` is that of the request, as time since boot.
 pub fn render_response(
     served: ServedResponse,
     guard: RequestGuard,
     stall_detector: &Arc<StallDetector>,
     request_id: &str,
+    deadline: Duration,
 ) -> Response<Body> {
     let ServedResponse {
         response: target_response,
@@ -163,7 +164,7 @@
     if body.is_end_stream() {
         body.complete();
     }
-    let mut response = Response::new(stall_detector.monitor(body.boxed_unsync()));
+    let mut response = Response::new(stall_detector.monitor(body.boxed_unsync(), deadline));
     *response.status_mut() = status;
     *response.headers_mut() = header_map;
     if names.adds_diagnostics {
--- a/crates/daemon/src/ingress/stall.rs
+++ b/crates/daemon/src/ingress/stall.rs
@@ -2,7 +2,7 @@
 //!
 //! A response is sent as fast as the caller reads it, and it holds the target's slot until its end.
 //! A few callers that never read could hold all slots forever, so a response is aborted if the
-//! caller reads nothing for [`STALL_TIMEOUT`]. The HTTP library does not poll a body that cannot be
+//! caller reads nothing for [`STALL_TIMEOUT`] or until the deadline of its request. The HTTP library does not poll a body that cannot be
 //! sent, so a task scans all open bodies.
 
 use std::collections::HashMap;
@@ -39,6 +39,15 @@
     /// When the caller read the last frame, as time since boot. `None` while the next frame is
     /// still awaited from the target.
     last_read_at: Option<Duration>,
+    /// Deadline of the request, as time since boot.
+    deadline: Duration,
+}
+
+impl TrackedBody {
+    fn is_stalled(&self, now: Duration) -> bool {
+        let is_stalled = |at| now >= self.deadline || now.saturating_sub(at) >= STALL_TIMEOUT;
+        self.last_read_at.is_some_and(is_stalled)
+    }
 }
 
 impl StallDetector {
@@ -62,15 +71,20 @@
         stall_detector
     }
 
-    /// Wraps a body so that it is aborted when its reader stalls.
-    pub fn monitor(self: &Arc<Self>, body: Body) -> Body {
+    /// Wraps the body of a response so that it is aborted when its reader stalls. `deadline` is that
+    /// of the request, as time since boot.
+    pub fn monitor(self: &Arc<Self>, body: Body, deadline: Duration) -> Body {
         if body.is_end_stream() {
             return body;
         }
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let last_read_at = Some(self.clock.now());
         let body = Some(body);
-        let tracked = Arc::new(Mutex::new(TrackedBody { body, last_read_at }));
+        let tracked = Arc::new(Mutex::new(TrackedBody {
+            body,
+            last_read_at,
+            deadline,
+        }));
         lock(&self.bodies).insert(id, Arc::downgrade(&tracked));
         let stall_detector = Arc::clone(self);
         MonitoredBody {
@@ -89,17 +103,17 @@
             .collect();
         for tracked in bodies {
             let mut tracked = lock(&tracked);
-            let is_stalled = tracked
-                .last_read_at
-                .is_some_and(|last_read_at| now.saturating_sub(last_read_at) >= STALL_TIMEOUT);
-            let body = if is_stalled {
+            let body = if tracked.is_stalled(now) {
                 tracked.body.take()
             } else {
                 None
             };
             drop(tracked);
             if body.is_some() {
-                log::warn!("caller read nothing for {STALL_TIMEOUT:?}; aborting its response");
+                log::warn!(
+                    "caller read nothing for {STALL_TIMEOUT:?} or until its deadline; \
+                     aborting its response"
+                );
             }
         }
     }
--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -9,6 +9,8 @@
     start_pair_with_protocol, wait_until,
 };
 use googletest::prelude::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const DEADLINE: Duration = Duration::from_millis(300);
@@ -229,6 +231,28 @@
     }
 }
 
+/// Guards against a slot that stays taken after the deadline of a caller that does not read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_body_is_aborted_after_the_deadline() {
+    for row in &BODIES[..3] {
+        let fixture = Fixture::start(row, false).await;
+        for address in [fixture.ingress.caller_address, fixture.owner.caller_address] {
+            let mut caller = TcpStream::connect(address).await.unwrap();
+            let deadline_ms = DEADLINE.as_millis();
+            let request = format!(
+                "GET /search/1 HTTP/1.1\r\nhost: test\r\n\
+                 x-masticdeal-deadline-ms: {deadline_ms}\r\n\r\n"
+            );
+            caller.write_all(request.as_bytes()).await.unwrap();
+            let is_running = || fixture.owner.owner.load().running == 1;
+            timeout(SLACK, wait_until(is_running)).await.unwrap();
+            tokio::time::sleep(DEADLINE + SLACK).await;
+            fixture.expect_released().await;
+        }
+    }
+}
+
 /// Guards against a daemon that reads on from the target after the caller has left.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
