Test responses that are cut between daemons

The peer resets the stream (NO_ERROR, CANCEL, INTERNAL_ERROR), sends GOAWAY (NO_ERROR, PROTOCOL_ERROR), or closes the connection.

None of them looks complete to the caller: the daemons use h2 directly, which reports a stream without its end as an error even after NO_ERROR.

--- a/crates/daemon/tests/peer_failures.rs
+++ b/crates/daemon/tests/peer_failures.rs
@@ -3,11 +3,14 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{Daemon, LOOPBACK_ANY_PORT, call, publish, request, settings, table};
 use googletest::prelude::*;
 use http::Response;
+use masticdeal_wire::codec;
+use masticdeal_wire::peer::{ForwardReply, LoadHint};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -149,3 +152,75 @@
     });
     futures_util::future::join_all(calls).await;
 }
+
+/// How a peer ends a response within its body.
+#[derive(Debug, Clone, Copy)]
+enum Cut {
+    Reset(h2::Reason),
+    GoAway(h2::Reason),
+    Close,
+}
+
+async fn start_cutting_owner(cut: Cut) -> SocketAddr {
+    let listener = TcpListener::bind(LOOPBACK_ANY_PORT).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(cut_response(stream, cut));
+        }
+    });
+    address
+}
+
+async fn cut_response(stream: TcpStream, cut: Cut) {
+    /// Time in which the connection sends its frames.
+    const FLUSH_TIME: Duration = Duration::from_millis(20);
+    let mut connection = h2::server::handshake(stream).await.unwrap();
+    let Some(Ok((_request, mut respond))) = connection.accept().await else {
+        return;
+    };
+    let reply = ForwardReply::Response {
+        status: 200,
+        headers: Vec::new(),
+        load: LoadHint::default(),
+    };
+    let mut out = respond.send_response(Response::new(()), false).unwrap();
+    out.send_data(codec::encode(&reply).unwrap(), false)
+        .unwrap();
+    out.send_data(Bytes::from_static(b"hello"), false).unwrap();
+    let _ = tokio::time::timeout(FLUSH_TIME, connection.accept()).await;
+    match cut {
+        Cut::Reset(reason) => out.send_reset(reason),
+        Cut::GoAway(reason) => connection.abrupt_shutdown(reason),
+        Cut::Close => return,
+    }
+    let _ = tokio::time::timeout(FLUSH_TIME, connection.accept()).await;
+}
+
+/// Guards against a response that looks complete although the peer ended it within its body.
+#[gtest]
+#[tokio::test]
+async fn response_cut_between_daemons_does_not_look_complete() {
+    let cuts = [
+        Cut::Reset(h2::Reason::NO_ERROR),
+        Cut::Reset(h2::Reason::CANCEL),
+        Cut::Reset(h2::Reason::INTERNAL_ERROR),
+        Cut::GoAway(h2::Reason::NO_ERROR),
+        Cut::GoAway(h2::Reason::PROTOCOL_ERROR),
+        Cut::Close,
+    ];
+    for cut in cuts {
+        let ingress = Daemon::start(settings(|_| {})).await;
+        let owner = Daemon::start(settings(|_| {})).await;
+        let mut table = table(1, &[&ingress, &owner], Some(1));
+        table.sessions[1].address = start_cutting_owner(cut).await;
+        publish(&[&ingress], &table);
+        let response = call(
+            ingress.caller_address,
+            request("POST", "/search/1", &[], "body"),
+        )
+        .await;
+        expect_that!(response.status, eq(200), "{cut:?}");
+        expect_that!(response.body, err(anything()), "{cut:?}");
+    }
+}
