--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -9,6 +9,8 @@
     start_pair_with_protocol, wait_until,
 };
 use googletest::prelude::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const DEADLINE: Duration = Duration::from_millis(300);
@@ -201,6 +203,56 @@
     }
 }
 
+/// Guards against a body without end that outlasts the deadline of its request, or looks complete.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_body_is_cut_at_the_deadline() {
+    for (row, is_trickle) in BODIES.iter().flat_map(|row| [(row, false), (row, true)]) {
+        let fixture = Fixture::start(row, is_trickle).await;
+        for address in [fixture.ingress.caller_address, fixture.owner.caller_address] {
+            let deadline_ms = DEADLINE.as_millis().to_string();
+            let headers = [("x-masticdeal-deadline-ms", deadline_ms.as_str())];
+            let mut caller = Caller::connect(address).await;
+            let response = caller
+                .send(request("POST", "/search/1", &headers, ""))
+                .await;
+            let response = timeout(DEADLINE + SLACK, read(response)).await;
+            let name = &fixture.name;
+            // The request can fail before its head was passed on.
+            let end = response.map(|r| {
+                let (status, verdict, _) = r.status_verdict_reason();
+                (status, verdict == "MayHaveRun", r.body.is_ok())
+            });
+            let is_cut = matches!(end, Ok((200, _, false) | (502 | 504, true, _)));
+            expect_that!(is_cut, eq(true), "{name}: ended with {end:?}");
+            drop(caller);
+            fixture.expect_released().await;
+        }
+    }
+}
+
+/// Guards against a slot that stays taken after the deadline of a caller that does not read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_body_is_aborted_after_the_deadline() {
+    for row in &BODIES[..3] {
+        let fixture = Fixture::start(row, false).await;
+        for address in [fixture.ingress.caller_address, fixture.owner.caller_address] {
+            let mut caller = TcpStream::connect(address).await.unwrap();
+            let deadline_ms = DEADLINE.as_millis();
+            let request = format!(
+                "GET /search/1 HTTP/1.1\r\nhost: test\r\n\
+                 x-masticdeal-deadline-ms: {deadline_ms}\r\n\r\n"
+            );
+            caller.write_all(request.as_bytes()).await.unwrap();
+            let is_running = || fixture.owner.owner.load().running == 1;
+            timeout(SLACK, wait_until(is_running)).await.unwrap();
+            tokio::time::sleep(DEADLINE + SLACK).await;
+            fixture.expect_released().await;
+        }
+    }
+}
+
 /// Guards against a daemon that reads on from the target after the caller has left.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
