Remove the unused clear of granted shards

Nothing calls GrantedShards::clear. A shard without a record counts as released once grants of an earlier process have expired, so a call while the target runs would let its shards move to another target at once.

--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -3,8 +3,8 @@
 //!
 //! Invariants:
 //! - A shard counts as held from the reply that grants it until a reply has omitted it and the next
-//!   report does not contain it, until another incarnation of the target reports, until
-//!   [`GrantedShards::clear`] is called, or until the grant has expired by the daemon's clock.
+//!   report does not contain it, until another incarnation of the target reports, or until the grant
+//!   has expired by the daemon's clock.
 //! - A shard in a report counts as held no matter who granted it, for example an earlier process of
 //!   this daemon.
 //! - Until the grants of an earlier process have expired, a shard that was never recorded as held
@@ -209,12 +209,6 @@
         granted.is_some_and(|g| g.epoch <= epoch && g.serve_from <= now && now < g.until)
     }
 
-    /// Clears all grants after the target's process has ended.
-    pub fn clear(&self) {
-        self.lock().granted.clear();
-        self.changed.notify_waiters();
-    }
-
     /// Returns whether the target can no longer hold the shard: it reported the shard released, or
     /// the grant has expired, whichever process of this daemon made it.
     pub fn is_released(&self, now: Duration, shard: ShardId) -> bool {
@@ -230,7 +224,7 @@
         self.lock().granted.contains_key(&shard)
     }
 
-    /// Resolves at the next report, grant or call of [`Self::clear`] after this call.
+    /// Resolves at the next report or grant after this call.
     pub fn changed(&self) -> Notified<'_> {
         self.changed.notified()
     }
