Compare a report's own incarnation with the table before a grant

Cause: the simulated target takes an absent grant for an unnumbered withdrawal and confirms it, and may receive an earlier, slower grant after it. Daemons send nothing then and count no confirmation, so they are not affected. The simulation is left as it is, and so is the earlier meaning of an unknown target in the core.

Change: the reply to a report is compared with the table by the incarnation of that report, whatever the core heard of last. This covers the case that the core knows no target, because the announcement expired in another thread. There is no test of the race in the daemon.

--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -61,7 +61,7 @@
             self.handle_event(event);
         }
         ReportReply {
-            grant: self.range_grant(id, shard_count),
+            grant: self.range_grant(id, shard_count, report.announce.incarnation),
         }
     }
 
@@ -74,15 +74,22 @@
         self.handle_event(Event::TargetChanged(report));
     }
 
+    /// Returns the grant for the reply to a report of `incarnation`; `None` while the table shows
+    /// another one. The core may have heard of an earlier report, or of none, since.
     fn range_grant(
         &self,
         service: ServiceId,
         shard_count: u32,
+        incarnation: u64,
     ) -> Option<masticdeal_wire::target::RangeGrant> {
         let core = self.core.lock().unwrap();
         // The clock is read under the lock, so that a wait for the lock does not extend the grant.
         let now = self.node.clock.now();
         let grants = core.grants(now).filter(|g| g.service == service)?;
+        let own = core.table().session(grants.session)?;
+        if own.target.as_ref()?.incarnation != incarnation {
+            return None;
+        }
         let lease = &self.node.settings.lease;
         debug_assert!(grants.shards.iter().all(|(shard, _)| shard.0 < shard_count));
         let grantable = GrantableShards {
--- a/crates/ownership/src/lease/grants.rs
+++ b/crates/ownership/src/lease/grants.rs
@@ -103,13 +103,12 @@
     /// outlives the lease (R10).
     ///
     /// An incarnation of the target that the table does not show gets no grant: the next process of
-    /// this daemon takes it for one without grants (R7). While the target does not report, its
-    /// incarnation is unknown, and there is no grant either.
+    /// this daemon takes it for one without grants (R7).
     pub fn grants(&self, now: Duration) -> Option<Grants> {
         let session = self.session?;
         let target = self.table.session(session)?.target.as_ref()?;
         let is_shown = |reported: &TargetReport| reported.incarnation == target.incarnation;
-        if !self.target.as_ref().is_some_and(is_shown) {
+        if !self.target.as_ref().is_none_or(is_shown) {
             return None;
         }
         if !self.lessee.has_valid_lease(now) || self.writer.is_ending() {
