Keep the epoch of a range for shards that return to the target

Cause: neighbouring shards are granted as one range under the highest of their epochs, and the record of a shard keeps that epoch, so that it never decreases for the same incarnation. The record is dropped once the shard is released. A shard whose move is cancelled, because the store does not answer, returns under its own, lower epoch if the neighbour does not return with it. The daemon then counts it as held, and the target answers 421.

Change: the epoch of the range is kept for released shards until the target restarts. It is still below the epoch of any next owner.

Before: range_epoch_of_a_shard_never_decreases with the new case fails (epoch 4, not 9). After: it passes, and so do all tests of the daemon and of the adapter.

--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -20,7 +20,7 @@
 //! shard under an epoch above that of this range. The same incarnation of a target never receives a
 //! shard under a lower epoch than before.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -71,8 +71,9 @@
     /// Number of replies sent.
     replies_sent: u64,
     granted: BTreeMap<ShardId, Granted>,
-    /// Shards that were recorded as held and that the target has released since.
-    released: BTreeSet<ShardId>,
+    /// Shards that were recorded as held and that the target has released since, with the epochs of
+    /// their ranges.
+    released: BTreeMap<ShardId, Epoch>,
     /// Handovers from the local target for shards that it released.
     released_handovers: HashMap<ShardId, String>,
     /// Handovers from other targets for shards of this daemon, with the epoch they are meant for.
@@ -159,7 +160,7 @@
             let in_last_reply = granted.reply_number == Some(replies_sent);
             let is_held = now < granted.until && (in_last_reply || holds(*shard));
             if !is_held {
-                released.insert(*shard);
+                released.insert(*shard, granted.range_epoch);
             }
             is_held
         });
@@ -215,7 +216,7 @@
         let state = self.lock();
         match state.granted.get(&shard) {
             Some(granted) => granted.until <= now,
-            None => state.released.contains(&shard) || state.earlier_grants_until <= now,
+            None => state.released.contains_key(&shard) || state.earlier_grants_until <= now,
         }
     }
 
@@ -318,7 +319,9 @@
 
     fn range(&self, shard: ShardId, epoch: Epoch, shard_count: u32) -> GrantedRange {
         let (first, last) = shard_key_range(shard, shard_count);
-        let range_epoch = self.granted.get(&shard).map_or(epoch, |g| g.range_epoch);
+        let granted = self.granted.get(&shard).map(|g| g.range_epoch);
+        let released = self.released.get(&shard).copied();
+        let range_epoch = granted.max(released).unwrap_or(epoch);
         let received = self
             .received_handovers
             .get(&shard)
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -223,6 +223,14 @@
         granted_shards.holds(ms(200), ShardId(0), Epoch(4)),
         eq(true)
     );
+    // The shards are released, and only one of them returns, since its move is cancelled.
+    let released = GrantedShards::default();
+    released.apply_report(ms(0), &report(1, &[]), SHARD_COUNT, ms(3_060));
+    grant(&released, ms(0), &[(0, 4), (1, 9)], ms(3_000));
+    grant(&released, ms(300), &[], ms(3_000));
+    released.apply_report(ms(400), &report(1, &[]), SHARD_COUNT, ms(3_060));
+    let returned = grant(&released, ms(400), &[(0, 4)], ms(3_000));
+    expect_that!(returned.ranges[0].epoch, eq(9));
     // A new process obtains the range epoch from the target's report.
     let restarted = GrantedShards::default();
     restarted.apply_report(
