--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -8,6 +8,9 @@
 //! ends within a lease unless a lessor renews it, and a reachable lessor knows the version. So the
 //! write waits until all sessions have replied or a lease has passed. A process that has not joined
 //! may miss sessions in its table and always waits for the lease.
+//!
+//! This does not cover a daemon without the newest table that reaches the store but none of the
+//! daemons that have it, while these renew each other.
 
 use std::sync::Arc;
 use std::time::Duration;
