Do not extend a lease by the read of a copy in a restored store

A session without lessors could serve its shards beside their next owner, for up to a lease (OWNER): it was ended in a version of the table that the store has lost, and then read the copy, which still shows it.

Cause: a read of the table that shows this session proves that nobody ended it (R13). After a restore the stored table may be a copy of before the end.

Change: during a restoration, a read does not extend the lease, and such a session makes no reads to renew it. Its lease is extended again by the first read after the restored table is written.

Evidence: read_of_a_restored_copy_does_not_extend_the_lease fails before (the session has a lease after the restore) and passes now.

--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -36,9 +36,10 @@
     }
 
     /// Extends the lease of a session without lessors, counting from the start of the read of the
-    /// newest table (R13).
+    /// newest table (R13). A copy in a restored store does not count: the session may have been
+    /// ended in a version that the store has lost.
     fn extend_lease_by_read(&mut self, now: Duration) {
-        if !self.has_no_lessors() {
+        if !self.has_no_lessors() || self.restoration.is_some() {
             return;
         }
         let Some(seen_at) = self.writer.last_seen_at(self.table.version) else {
--- a/crates/ownership/src/lease/schedule.rs
+++ b/crates/ownership/src/lease/schedule.rs
@@ -70,10 +70,11 @@
     }
 
     /// Returns when a session without lessors must read the table next, to renew its own lease;
-    /// `None` if this session has lessors. It reads once per renewal interval. The read also shows
-    /// whether others joined or ended this session.
+    /// `None` if this session has lessors, and during a restoration, which reads the table itself. It
+    /// reads once per renewal interval. The read also shows whether others joined or ended this
+    /// session.
     pub(super) fn self_renewal_read_at(&self) -> Option<Duration> {
-        if !self.has_no_lessors() {
+        if !self.has_no_lessors() || self.restoration.is_some() {
             return None;
         }
         let last_seen = self.writer.last_seen_at(self.table.version);
--- a/crates/ownership/tests/restoration.rs
+++ b/crates/ownership/tests/restoration.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use masticdeal_ownership::change::{Change, Delta};
+use masticdeal_ownership::ids::{ChangeId, SessionId};
 use masticdeal_ownership::lease::{Core, CoreSettings, Effect, Event, Identity};
-use masticdeal_ownership::table::Table;
+use masticdeal_ownership::table::{Session, Table};
 
-/// Guards against a starting daemon that collects tables in a busy loop until a lease has passed.
-#[googletest::test]
-fn process_without_known_sessions_does_not_collect_without_pause() {
-    let settings = CoreSettings::default();
-    let identity = Identity {
+fn identity() -> Identity {
+    Identity {
         incarnation: 1,
         vm: "vm".into(),
         address: "127.0.0.1:1000".parse().expect("address"),
@@ -19,8 +18,40 @@
         data_centre: "a".into(),
         bound_at: Duration::ZERO,
         seed: 1,
+    }
+}
+
+fn has_lease(core: &Core, now: Duration) -> bool {
+    core.lease_until().is_some_and(|until| now < until)
+}
+
+/// Returns a table with the session of [`identity`], which has no lessors.
+fn table_of_one() -> Arc<Table> {
+    let own = identity();
+    let session = Session {
+        id: SessionId(0),
+        incarnation: own.incarnation,
+        vm: own.vm,
+        address: own.address,
+        region: own.region,
+        data_centre: own.data_centre,
+        lessors: Vec::new(),
+        term: 1,
+        target: None,
+    };
+    let delta = Delta {
+        to_version: 1,
+        change_id: ChangeId(1),
+        changes: vec![Change::Join { session }],
     };
-    let mut core = Core::new(settings.clone(), identity);
+    Arc::new(Table::default().apply(&delta).expect("join applies"))
+}
+
+/// Guards against a starting daemon that collects tables in a busy loop until a lease has passed.
+#[googletest::test]
+fn process_without_known_sessions_does_not_collect_without_pause() {
+    let settings = CoreSettings::default();
+    let mut core = Core::new(settings.clone(), identity());
     let mut now = Duration::ZERO;
     let mut effects = core.handle(now, Event::Tick);
     let (mut collections, mut writes) = (0, 0);
@@ -54,3 +85,39 @@
     expect_that!(collections, le(5));
     expect_that!(writes, eq(1));
 }
+
+/// Guards against a session without lessors that was ended in a lost version of the table, and takes
+/// up its shards again after it has read the copy in the restored store.
+#[googletest::test]
+fn read_of_a_restored_copy_does_not_extend_the_lease() {
+    let settings = CoreSettings::default();
+    let mut core = Core::new(settings.clone(), identity());
+    let mut now = Duration::ZERO;
+    let mut effects = core.handle(now, Event::Tick);
+    let cut_from = 2 * settings.lease;
+    let restored_at = 2 * cut_from;
+    let mut served_before = false;
+    while now < restored_at + settings.lease / 2 {
+        let Some(effect) = effects.pop() else {
+            now += Duration::from_millis(1);
+            effects.extend(core.handle(now, Event::Tick));
+            served_before |= now < cut_from && has_lease(&core, now);
+            if now > restored_at {
+                assert_that!(has_lease(&core, now), eq(false), "{now:?}");
+            }
+            continue;
+        };
+        if let Effect::ReadTable { read } = effect {
+            let is_cut = cut_from <= now && now < restored_at;
+            effects.extend(core.handle(
+                now,
+                Event::TableRead {
+                    read,
+                    table: (!is_cut).then(table_of_one),
+                    store_era: u64::from(now >= restored_at),
+                },
+            ));
+        }
+    }
+    expect_that!(served_before, eq(true));
+}
