--- a/crates/daemon/src/ingress/stall.rs
+++ b/crates/daemon/src/ingress/stall.rs
@@ -2,8 +2,8 @@
 //!
 //! A response is sent as fast as the caller reads it, and it holds the target's slot until its end.
 //! A few callers that never read could hold all slots forever, so a response is aborted if the
-//! caller reads nothing for [`STALL_TIMEOUT`] or until the deadline of its request. The HTTP library does not poll a body that cannot be
-//! sent, so a task scans all open bodies.
+//! caller reads nothing for [`STALL_TIMEOUT`] or until the deadline of its request. The HTTP library
+//! does not poll a body that cannot be sent, so a task scans all open bodies.
 
 use std::collections::HashMap;
 use std::pin::Pin;
