--- a/crates/ownership/tests/target_restarts.rs
+++ b/crates/ownership/tests/target_restarts.rs
@@ -105,6 +105,21 @@
     (apply(&table, vec![assign]), other, own)
 }
 
+/// Has all lessors grant the requested renewals at 1 ms.
+fn grant_renewals(core: &mut Core, effects: Vec<Effect>, table: &Table) {
+    for effect in effects {
+        if let Effect::SendRenew(renewal) = effect {
+            let reply = Event::RenewReply {
+                lessor: renewal.lessor,
+                sequence: renewal.sequence,
+                granted: true,
+                version: table.version,
+            };
+            core.handle(ms(1), reply);
+        }
+    }
+}
+
 /// Guards against a new incarnation that is granted a shard under the epoch of the one before,
 /// because the shard was to move and the platform store does not answer.
 #[googletest::test]
@@ -176,17 +191,7 @@
     let mut earlier = core(10, Duration::ZERO);
     let mut effects = earlier.handle(ms(0), Event::TableReceived(table.clone()));
     effects.extend(earlier.handle(ms(0), target(1, TargetState::Ready)));
-    for effect in effects {
-        if let Effect::SendRenew(renewal) = effect {
-            let reply = Event::RenewReply {
-                lessor: renewal.lessor,
-                sequence: renewal.sequence,
-                granted: true,
-                version: table.version,
-            };
-            earlier.handle(ms(1), reply);
-        }
-    }
+    grant_renewals(&mut earlier, effects, &table);
     // The target restarts, and the store does not answer this daemon. The shard moves to it.
     earlier.handle(ms(2), target(2, TargetState::Ready));
     let epoch = table.services[0].shards[0].epoch;
@@ -256,17 +261,7 @@
     let mut owner = core(10, Duration::ZERO);
     let mut effects = owner.handle(ms(0), Event::TableReceived(table.clone()));
     effects.extend(owner.handle(ms(0), target(1, TargetState::Ready)));
-    for effect in effects {
-        if let Effect::SendRenew(renewal) = effect {
-            let reply = Event::RenewReply {
-                lessor: renewal.lessor,
-                sequence: renewal.sequence,
-                granted: true,
-                version: table.version,
-            };
-            owner.handle(ms(1), reply);
-        }
-    }
+    grant_renewals(&mut owner, effects, &table);
     assert_that!(owner.grants(ms(1)), some(anything()));
     owner.handle(ms(2), target(2, TargetState::Ready));
     owner.handle(ms(3), target(1, TargetState::Ready));
