--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -98,13 +98,13 @@
     }
 
     pub(super) fn record_collection(&mut self, now: Duration, version: u64, all_replied: bool) {
+        let lease_passed_at = self.lease_passed_at();
         if let Some(restoration) = &mut self.restoration {
             restoration.collected = Some((version, all_replied));
-            let lease_passed_at = restoration.since + lessor_lease_length(&self.settings);
             let retry_at = now + self.settings.renew_interval;
             restoration.not_before = match all_replied && self.session.is_some() {
                 true => now,
-                false => retry_at.min(lease_passed_at.max(now)),
+                false => lease_passed_at.map_or(retry_at, |at| retry_at.min(at.max(now))),
             };
         }
     }
