Keep a target that has left from becoming ready again

Cause: a target may leave without reporting that it drains. The message of leaving has no sequence number, so a report that was sent before it and arrives after it counts as new, and its state `ready` replaced `draining`. The message was also refused, and forgotten, if the target had not reported for 3 s or the daemon had just restarted.

Ruled out: a refusal of all reports after the message, because the reports show which shards are released.

Change: the announce port remembers the newest incarnation that has left, and takes its reports as those of a draining target. A message of leaving of the last known incarnation is acknowledged although the target counts as unavailable. Targets that report no incarnation are treated as before.

Before: delayed_report_does_not_make_a_target_that_left_ready fails ("report after the message of leaving": Ready, and "target expired before it left": 409, Ready). After: it passes, and so do all tests of `cargo test -p masticdeald`.

--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -74,7 +74,7 @@
     let server = Arc::new(AnnounceServer {
         node,
         report_handler,
-        last: Mutex::new(None),
+        known: Mutex::default(),
     });
     let connection_limit = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
@@ -121,10 +121,19 @@
     received_at: Duration,
 }
 
+/// What the target has announced so far.
+#[derive(Debug, Default)]
+struct KnownTarget {
+    last: Option<LastAnnouncement>,
+    /// Newest incarnation that has left; 0 if none has. Its later messages were delayed, or come
+    /// from a target that does not report that it drains.
+    left_incarnation: u64,
+}
+
 struct AnnounceServer {
     node: Arc<Node>,
     report_handler: ReportHandler,
-    last: Mutex<Option<LastAnnouncement>>,
+    known: Mutex<KnownTarget>,
 }
 
 impl AnnounceServer {
@@ -192,8 +201,8 @@
     fn publish(&self, report: &Report) -> Result<(), Error> {
         let announce = &report.announce;
         let now = self.node.clock.now();
-        let mut last = self.last.lock().unwrap_or_else(|e| e.into_inner());
-        if let Some(last) = *last {
+        let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(last) = known.last {
             let is_alive = now.saturating_sub(last.received_at) < ANNOUNCE_TIMEOUT;
             if last.address != announce.address && is_alive {
                 return Err(Error::OtherTarget(last.address));
@@ -206,28 +215,39 @@
                 return Err(Error::Stale);
             }
         }
-        *last = Some(LastAnnouncement {
+        known.last = Some(LastAnnouncement {
             address: announce.address,
             incarnation: announce.incarnation,
             sequence: report.sequence,
             received_at: now,
         });
-        self.set_target(Some(announce.clone()));
+        let mut announce = announce.clone();
+        if announce.incarnation != 0 && announce.incarnation == known.left_incarnation {
+            announce.state = AnnouncedState::Draining;
+        }
+        self.set_target(Some(announce));
         Ok(())
     }
 
     /// Marks a target that leaves as draining. This may be the last message of its incarnation.
     fn start_draining(&self, instance: &str, incarnation: u64) -> Result<ReportReply, Error> {
-        let known = self.node.target.borrow().clone();
-        let known = known.filter(|t| {
-            t.instance == instance && (incarnation == 0 || incarnation == t.incarnation)
-        });
-        let Some(known) = known else {
-            return Err(Error::Stale);
+        let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
+        let last_incarnation = known.last.map_or(0, |last| last.incarnation);
+        if last_incarnation <= incarnation {
+            known.left_incarnation = incarnation;
+        }
+        let target = self.node.target.borrow().clone();
+        let Some(target) = target else {
+            let is_last = incarnation != 0 && incarnation == last_incarnation;
+            return is_last.then(ReportReply::default).ok_or(Error::Stale);
         };
+        let is_same = incarnation == 0 || incarnation == target.incarnation;
+        if target.instance != instance || !is_same {
+            return Err(Error::Stale);
+        }
         self.set_target(Some(Announce {
             state: AnnouncedState::Draining,
-            ..known
+            ..target
         }));
         Ok(ReportReply::default())
     }
@@ -248,8 +268,8 @@
     }
 
     fn expire_target(&self) {
-        let last = *self.last.lock().unwrap_or_else(|e| e.into_inner());
-        let Some(last) = last else { return };
+        let known = self.known.lock().unwrap_or_else(|e| e.into_inner());
+        let Some(last) = known.last else { return };
         let now = self.node.clock.now();
         if now.saturating_sub(last.received_at) < ANNOUNCE_TIMEOUT
             || self.is_responding_unsharded(now)
--- /dev/null
+++ b/crates/daemon/tests/announce.rs
@@ -0,0 +1,159 @@
+//! Reports of restarted and of leaving targets at the announce port.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use common::{LOOPBACK_ANY_PORT, call, request, settings};
+use googletest::prelude::*;
+use masticdeal_wire::target::{Announce, AnnouncedState, Report, ReportReply};
+use masticdeald::clock::Clock;
+use masticdeald::node::Node;
+use masticdeald::owner;
+use masticdeald::protocol::TargetMessage;
+use tokio::net::TcpListener;
+
+const INSTANCE: &str = "i-1";
+
+#[derive(Default)]
+struct ManualClock(AtomicU64);
+
+impl Clock for ManualClock {
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::SeqCst))
+    }
+}
+
+/// Decodes `/report/INCARNATION/SEQUENCE` of a ready target and `/leave/INCARNATION`.
+fn decode(path: &str, _body: &[u8]) -> Option<std::result::Result<TargetMessage, String>> {
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    Some(Ok(match parts[..] {
+        ["report", incarnation, sequence] => TargetMessage::Report(Report {
+            announce: Announce {
+                service: "search".into(),
+                address: "127.0.0.1:9".parse().unwrap(),
+                slots: 2,
+                checks_grants: true,
+                state: AnnouncedState::Ready,
+                load: None,
+                instance: INSTANCE.into(),
+                incarnation: incarnation.parse().unwrap(),
+            },
+            sequence: sequence.parse().unwrap(),
+            holds: Some(Vec::new()),
+            released: Vec::new(),
+        }),
+        ["leave", incarnation] => TargetMessage::Leave {
+            instance: INSTANCE.into(),
+            incarnation: incarnation.parse().unwrap(),
+        },
+        _ => return None,
+    }))
+}
+
+struct Port {
+    node: Arc<Node>,
+    clock: Arc<ManualClock>,
+    address: SocketAddr,
+}
+
+impl Port {
+    async fn start() -> Self {
+        let clock = Arc::new(ManualClock::default());
+        let may_serve = Box::new(|_, _, _| unreachable!());
+        let mut node = Node::new(settings(|_| {}), clock.clone(), may_serve);
+        node.protocol.target.decode = decode;
+        let node = Arc::new(node);
+        let listener = TcpListener::bind(LOOPBACK_ANY_PORT).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let reply = Box::new(|_: &Report| ReportReply::default());
+        tokio::spawn(owner::serve_announce(node.clone(), listener, reply));
+        Self {
+            node,
+            clock,
+            address,
+        }
+    }
+
+    /// Sends a message at `at_ms` and returns the status of the reply.
+    async fn send(&self, at_ms: u64, path: &str) -> u16 {
+        self.clock.0.store(at_ms, Ordering::SeqCst);
+        call(self.address, request("POST", path, &[], ""))
+            .await
+            .status
+    }
+
+    fn target(&self) -> Option<(AnnouncedState, u64)> {
+        let target = self.node.target.borrow();
+        target.as_ref().map(|t| (t.state, t.incarnation))
+    }
+}
+
+/// Guards against a target that has left and becomes ready again by a report from before it left.
+#[gtest]
+#[tokio::test]
+async fn delayed_report_does_not_make_a_target_that_left_ready() {
+    struct Case {
+        name: &'static str,
+        messages: &'static [(u64, &'static str, u16)],
+        expected: (AnnouncedState, u64),
+    }
+    let cases = [
+        Case {
+            name: "report after the message of leaving",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (900, "/leave/7", 200),
+                (950, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "target expired before it left",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (4_000, "/leave/7", 200),
+                (4_100, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "daemon restarted before the message of leaving",
+            messages: &[(0, "/leave/7", 409), (100, "/report/7/2", 200)],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "late message of an earlier incarnation",
+            messages: &[(0, "/report/8/1", 200), (100, "/leave/7", 409)],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "next incarnation",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (900, "/leave/7", 200),
+                (950, "/report/8/1", 200),
+            ],
+            expected: (AnnouncedState::Ready, 8),
+        },
+    ];
+    for c in cases {
+        let port = Port::start().await;
+        for &(at_ms, path, status) in c.messages {
+            if at_ms >= 3_000 && path.starts_with("/leave") {
+                port.clock.0.store(at_ms, Ordering::SeqCst);
+                common::wait_until(|| port.target().is_none()).await;
+            }
+            expect_that!(
+                port.send(at_ms, path).await,
+                eq(status),
+                "{}: {path}",
+                c.name
+            );
+        }
+        expect_that!(port.target(), some(eq(c.expected)), "{}", c.name);
+    }
+}
