Accept a restarted target whose wall clock stepped back

Cause: an incarnation is numbered by the wall clock at the target's start. After a step back, the next incarnation has a lower number, and its reports were refused as late ones. No knowledge of the order was taken for the order of the clock.

Change: an incarnation that is not above the highest one reported replaces the last one if it has reported for a second and the last one has been silent for 3 s and for the longest grant, so that no grant of it is left. It is published under the next number, so that the lease core, the record of grants and the table keep their order. Delayed reports of a replaced incarnation are refused in the same way; otherwise one of them would clear the record of what the present one holds.

Before: target_whose_clock_stepped_back_is_accepted_after_the_grants_of_the_earlier_one fails (409 for /report/50/3). After: it passes, and so do all tests of `cargo test -p masticdeald`. The other cases of the test pass before and after, but for those that need the acceptance.

--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -20,13 +20,17 @@
 use tokio::time::sleep;
 
 use crate::exchange::{Body, full_body};
-use crate::node::Node;
+use crate::node::{Node, longest_grant};
 use crate::protocol::TargetMessage;
 
 /// Time without an announcement after which the target is unavailable, unless it belongs to an
 /// unsharded service and still responds to requests. Targets announce themselves once a second.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for which an incarnation with a lower number has to report before it replaces one that is
+/// silent. Delayed reports of an earlier incarnation arrive at about the same time.
+const LOWER_INCARNATION_DELAY: Duration = Duration::from_secs(1);
+
 /// Time without a new connection after which the age of the last announcement is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -115,6 +119,10 @@
 #[derive(Debug, Clone, Copy)]
 struct LastAnnouncement {
     address: SocketAddr,
+    /// Incarnation as the target reports it.
+    reported_incarnation: u64,
+    /// Incarnation under which the target is published. It is higher than the reported one if the
+    /// target's clock stepped back before its start.
     incarnation: u64,
     sequence: u64,
     /// When it was received, as time since boot.
@@ -128,6 +136,40 @@
     /// Newest incarnation that has left; 0 if none has. Its later messages were delayed, or come
     /// from a target that does not report that it drains.
     left_incarnation: u64,
+    /// Highest incarnation reported.
+    highest_incarnation: u64,
+    /// Other incarnation that reports meanwhile, not above the highest one, and the time of its
+    /// first report.
+    lower: Option<(u64, Duration)>,
+}
+
+impl KnownTarget {
+    /// Returns the incarnation under which to publish a report of `reported`; `None` for a delayed
+    /// report of an earlier incarnation.
+    ///
+    /// Incarnations are numbered by the target's wall clock, so a later one may have the lower
+    /// number. It replaces the last one once that has been silent for `silence`, in which its grants
+    /// expire.
+    fn publish_as(&mut self, now: Duration, reported: u64, silence: Duration) -> Option<u64> {
+        let Some(last) = self.last else {
+            return Some(reported);
+        };
+        if reported == last.reported_incarnation {
+            self.lower = None;
+            return Some(last.incarnation);
+        }
+        if reported <= self.highest_incarnation {
+            let known = self.lower.filter(|(lower, _)| *lower == reported);
+            let (_, since) = *self.lower.insert(known.unwrap_or((reported, now)));
+            let is_silent = silence <= now.saturating_sub(last.received_at);
+            let is_late = now.saturating_sub(since) < LOWER_INCARNATION_DELAY;
+            if reported == 0 || is_late || !is_silent {
+                return None;
+            }
+        }
+        self.lower = None;
+        Some(reported.max(last.incarnation + 1))
+    }
 }
 
 struct AnnounceServer {
@@ -172,7 +214,7 @@
         match message {
             TargetMessage::Report(report) => {
                 self.validate(&report)?;
-                self.publish(&report)?;
+                let report = self.publish(report)?;
                 Ok((self.report_handler)(&report))
             }
             TargetMessage::Leave {
@@ -198,8 +240,11 @@
         }
     }
 
-    fn publish(&self, report: &Report) -> Result<(), Error> {
-        let announce = &report.announce;
+    /// Publishes the reported target and returns the report with the incarnation under which it is
+    /// published.
+    fn publish(&self, mut report: Report) -> Result<Report, Error> {
+        let announce = &mut report.announce;
+        let reported_incarnation = announce.incarnation;
         let now = self.node.clock.now();
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(last) = known.last {
@@ -208,31 +253,33 @@
                 return Err(Error::OtherTarget(last.address));
             }
             let is_same_incarnation =
-                last.incarnation == announce.incarnation && announce.incarnation != 0;
-            if announce.incarnation < last.incarnation
-                || (is_same_incarnation && report.sequence <= last.sequence)
-            {
+                last.reported_incarnation == reported_incarnation && reported_incarnation != 0;
+            if is_same_incarnation && report.sequence <= last.sequence {
                 return Err(Error::Stale);
             }
         }
+        let silence = ANNOUNCE_TIMEOUT.max(longest_grant(&self.node.settings));
+        let incarnation = known.publish_as(now, reported_incarnation, silence);
+        announce.incarnation = incarnation.ok_or(Error::Stale)?;
+        known.highest_incarnation = known.highest_incarnation.max(reported_incarnation);
         known.last = Some(LastAnnouncement {
             address: announce.address,
+            reported_incarnation,
             incarnation: announce.incarnation,
             sequence: report.sequence,
             received_at: now,
         });
-        let mut announce = announce.clone();
-        if announce.incarnation != 0 && announce.incarnation == known.left_incarnation {
+        if reported_incarnation != 0 && reported_incarnation == known.left_incarnation {
             announce.state = AnnouncedState::Draining;
         }
-        self.set_target(Some(announce));
-        Ok(())
+        self.set_target(Some(announce.clone()));
+        Ok(report)
     }
 
     /// Marks a target that leaves as draining. This may be the last message of its incarnation.
     fn start_draining(&self, instance: &str, incarnation: u64) -> Result<ReportReply, Error> {
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
-        let last_incarnation = known.last.map_or(0, |last| last.incarnation);
+        let last_incarnation = known.last.map_or(0, |last| last.reported_incarnation);
         if last_incarnation <= incarnation {
             known.left_incarnation = incarnation;
         }
@@ -241,7 +288,7 @@
             let is_last = incarnation != 0 && incarnation == last_incarnation;
             return is_last.then(ReportReply::default).ok_or(Error::Stale);
         };
-        let is_same = incarnation == 0 || incarnation == target.incarnation;
+        let is_same = incarnation == 0 || incarnation == last_incarnation;
         if target.instance != instance || !is_same {
             return Err(Error::Stale);
         }
--- a/crates/daemon/tests/announce.rs
+++ b/crates/daemon/tests/announce.rs
@@ -157,3 +157,82 @@
         expect_that!(port.target(), some(eq(c.expected)), "{}", c.name);
     }
 }
+
+/// Guards against a restarted target whose reports are refused because its wall clock stepped back,
+/// and against a delayed report of an earlier incarnation that replaces the present one.
+#[gtest]
+#[tokio::test]
+async fn target_whose_clock_stepped_back_is_accepted_after_the_grants_of_the_earlier_one() {
+    struct Case {
+        name: &'static str,
+        messages: &'static [(u64, &'static str, u16)],
+        expected: u64,
+    }
+    let cases = [
+        Case {
+            name: "restarted target that keeps reporting",
+            messages: &[
+                (0, "/report/100/9", 200),
+                (1_000, "/report/50/1", 409),
+                (2_000, "/report/50/2", 409),
+                (3_500, "/report/50/3", 200),
+                (3_600, "/report/50/4", 200),
+            ],
+            expected: 101,
+        },
+        Case {
+            name: "delayed report of the replaced incarnation",
+            messages: &[
+                (0, "/report/100/9", 200),
+                (1_000, "/report/50/1", 409),
+                (3_500, "/report/50/2", 200),
+                (3_600, "/report/100/10", 409),
+            ],
+            expected: 101,
+        },
+        Case {
+            name: "next restart",
+            messages: &[
+                (0, "/report/100/9", 200),
+                (1_000, "/report/50/1", 409),
+                (3_500, "/report/50/2", 200),
+                (3_600, "/report/120/1", 200),
+            ],
+            expected: 120,
+        },
+        Case {
+            name: "delayed reports after a silence",
+            messages: &[
+                (0, "/report/100/9", 200),
+                (3_500, "/report/50/7", 409),
+                (3_600, "/report/50/8", 409),
+                (3_700, "/report/100/10", 200),
+            ],
+            expected: 100,
+        },
+        Case {
+            name: "delayed reports beside a target that reports",
+            messages: &[
+                (0, "/report/100/9", 200),
+                (1_000, "/report/50/7", 409),
+                (2_000, "/report/100/10", 200),
+                (3_000, "/report/100/11", 200),
+                (3_500, "/report/50/8", 409),
+            ],
+            expected: 100,
+        },
+    ];
+    for c in cases {
+        let port = Port::start().await;
+        for &(at_ms, path, status) in c.messages {
+            expect_that!(
+                port.send(at_ms, path).await,
+                eq(status),
+                "{}: {path}",
+                c.name
+            );
+        }
+        let incarnation = port.target().map(|(_, incarnation)| incarnation);
+        expect_that!(incarnation, some(eq(c.expected)), "{}", c.name);
+    }
+}
