Stop sending requests to a target that refused their shard

Cause: a restarted daemon learns from a report which shards its target holds under the grant of the earlier process. It does not know when that grant ends and takes the longest time that is possible, which is right for the next owner but not for sending requests. The target's grant ended earlier, and until the next report, up to a second later, every request was refused. The refusals had no effect on what the daemon knew.

Ruled out: not sending requests before the first grant of the new process. The target usually still holds its shards then, so callers would wait for the next report without need.

Change: a refusal is recorded until a later report or reply contains the shard; for shards of an earlier process's grant it covers all, since they expire together. Requests wait for the grant as they do for a new one. For the next owner the shard counts as held as before. A refusal of a request that was sent before the last report or reply changes nothing.

--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -11,6 +11,8 @@
 //!   counts as held as well. Reports without the shard prove nothing: they may be late ones, from
 //!   before the last grant of the earlier process.
 //! - No grant outlives the lease under which it was given.
+//! - Requests for a shard that the target refused wait for the next report or reply that contains the
+//!   shard. The grant of an earlier process may have ended at any time since it was reported.
 //!
 //! A shard that does not count as held may therefore be given to another owner.
 //!
@@ -59,6 +61,10 @@
     until: Duration,
     /// Number of the last reply that granted the shard; `None` if only a report showed it.
     reply_number: Option<u64>,
+    /// Time since boot of the last report or reply that contained the shard.
+    confirmed_at: Duration,
+    /// Whether the target refused a request for the shard after that.
+    refused: bool,
 }
 
 #[derive(Debug, Default)]
@@ -207,7 +213,25 @@
     pub fn holds(&self, now: Duration, shard: ShardId, epoch: Epoch) -> bool {
         let state = self.lock();
         let granted = state.granted.get(&shard);
-        granted.is_some_and(|g| g.epoch <= epoch && g.serve_from <= now && now < g.until)
+        granted
+            .is_some_and(|g| !g.refused && g.epoch <= epoch && g.serve_from <= now && now < g.until)
+    }
+
+    /// Records that the target refused a request that was sent at `sent_at` because it does not hold
+    /// the shard. Requests for it wait for the next report or grant that contains it. The shard still
+    /// counts as held for its next owner: the refusal proves nothing about requests that are running.
+    pub fn record_refusal(&self, sent_at: Duration, shard: ShardId) {
+        let mut state = self.lock();
+        let Some(refused) = state.granted.get(&shard).copied() else {
+            return;
+        };
+        for (other, granted) in &mut state.granted {
+            // The shards of an earlier process's grant expire together.
+            let expires_together = refused.reply_number.is_none() && granted.reply_number.is_none();
+            if (*other == shard || expires_together) && granted.confirmed_at < sent_at {
+                granted.refused = true;
+            }
+        }
     }
 
     /// Returns whether the target can no longer hold the shard: it reported the shard released, or
@@ -262,13 +286,17 @@
         for range in held_ranges {
             for shard in (0..shard_count).map(ShardId) {
                 if overlaps(range, shard, shard_count) {
-                    self.granted.entry(shard).or_insert(Granted {
+                    let granted = self.granted.entry(shard).or_insert(Granted {
                         epoch: Epoch(range.epoch),
                         range_epoch: Epoch(range.epoch),
                         serve_from: now,
                         until: now + max_earlier_grant,
                         reply_number: None,
+                        confirmed_at: now,
+                        refused: false,
                     });
+                    granted.confirmed_at = now;
+                    granted.refused = false;
                 }
             }
         }
@@ -349,7 +377,9 @@
             while ranges.next_if(|r| r.last < first).is_some() {}
             let Some(range) = ranges.peek() else { return };
             let previous = self.granted.get(&shard);
-            let serve_from = previous.map_or(now + REPLY_DELIVERY_DELAY, |g| g.serve_from);
+            let serve_from = previous
+                .filter(|g| !g.refused)
+                .map_or(now + REPLY_DELIVERY_DELAY, |g| g.serve_from);
             // The target may miss this reply and hold the shard until the end of the previous
             // grant.
             let until = previous.map_or(until, |g| g.until.max(until));
@@ -359,6 +389,8 @@
                 serve_from,
                 until,
                 reply_number: Some(self.replies_sent),
+                confirmed_at: now,
+                refused: false,
             };
             self.granted.insert(shard, granted);
         }
--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -235,7 +235,8 @@
                 None => self.connect().await?,
             };
             self.check()?;
-            let remaining = self.deadline.saturating_sub(node.clock.now());
+            let sent_at = node.clock.now();
+            let remaining = self.deadline.saturating_sub(sent_at);
             let names = &node.protocol.headers;
             set_deadline(request.headers_mut(), &names.deadline, remaining);
             self.set_write_check(&connection);
@@ -266,7 +267,7 @@
                         slot,
                         _in_flight: guard,
                     };
-                    return self.process_response(response, resources);
+                    return self.process_response(response, resources, sent_at);
                 }
                 Err(send_error) => send_error,
             };
@@ -347,9 +348,18 @@
         &self,
         response: http::Response<Incoming>,
         resources: RequestResources,
+        sent_at: Duration,
     ) -> Result<TargetResponse, Failure> {
         let protocol = &self.owner.node.protocol;
         if let Some(failure) = (protocol.target.refusal)(response.status(), response.headers()) {
+            if let Some((shard, _)) = self.ownership.key
+                && failure.reason == Reason::Moving
+            {
+                self.owner
+                    .node
+                    .granted_shards
+                    .record_refusal(sent_at, shard);
+            }
             if response.status() == StatusCode::SERVICE_UNAVAILABLE {
                 let load = failure.load;
                 let requests = usize::from(load.running) + usize::from(load.queued);
--- a/crates/daemon/tests/holdings.rs
+++ b/crates/daemon/tests/holdings.rs
@@ -377,6 +377,66 @@
     }
 }
 
+/// Guards against requests for a shard that the target has refused since its last report, and against
+/// a shard that is given to another owner because of such a refusal.
+#[gtest]
+fn refused_shard_is_not_served_until_the_next_report_or_grant() {
+    struct Case {
+        name: &'static str,
+        /// Whether this process granted shards 0 and 1; otherwise a report showed them.
+        granted: bool,
+        /// When the refused request for shard 0 was sent.
+        sent_at: Duration,
+        /// Whether the next report shows shard 0.
+        reported: bool,
+        /// Whether shard 0 is granted after the refusal.
+        granted_again: bool,
+        /// Whether requests for shards 0 and 1 may be sent.
+        is_served: [bool; 2],
+    }
+    let case = |name, granted, sent_at, reported, granted_again, is_served| Case {
+        name,
+        granted,
+        sent_at,
+        reported,
+        granted_again,
+        is_served,
+    };
+    let cases = [
+        case("granted", true, ms(200), false, false, [false, true]),
+        case(
+            "earlier process",
+            false,
+            ms(200),
+            false,
+            false,
+            [false, false],
+        ),
+        case("sent before", true, ms(50), false, false, [true, true]),
+        case("reported again", false, ms(200), true, false, [true, true]),
+        case("granted again", true, ms(200), false, true, [true, true]),
+    ];
+    let held = report(1, &[held_range(0, 1_023, 4)]);
+    for c in cases {
+        let granted_shards = GrantedShards::default();
+        granted_shards.apply_report(ms(100), &held, SHARD_COUNT, ms(3_060));
+        if c.granted {
+            grant(&granted_shards, ms(100), &[(0, 4), (1, 4)], ms(3_100));
+        }
+        granted_shards.record_refusal(c.sent_at, ShardId(0));
+        if c.reported {
+            granted_shards.apply_report(ms(300), &held, SHARD_COUNT, ms(3_060));
+        }
+        if c.granted_again {
+            grant(&granted_shards, ms(300), &[(0, 4), (1, 4)], ms(3_300));
+        }
+        let is_served = [0, 1].map(|s| granted_shards.holds(ms(400), ShardId(s), Epoch(4)));
+        expect_that!(is_served, eq(c.is_served), "{}", c.name);
+        let is_released = granted_shards.is_released(ms(400), ShardId(0));
+        expect_that!(is_released, eq(false), "{}", c.name);
+    }
+}
+
 /// Guards against a report without a list of held ranges that is read as one of a target that holds
 /// nothing.
 #[gtest]
