Refuse target responses with a transfer coding other than chunked

Callers saw a 200 with a body that the target had not sent: with `transfer-encoding: chunked, gzip` the chunk sizes were part of the body, with `gzip, chunked` the coded bytes were passed on without their coding. With `gzip` alone the body ended with the connection and looked complete, also in a protocol whose bodies must have a length.

Cause: the HTTP library reads such a body to the close of the connection, the header is dropped as one of the connection, and `has_framing` took any `transfer-encoding` for a length. Change: a response with a transfer coding that is not exactly `chunked`, or with two of them, fails with `MayHaveRun`, before it is examined for a refusal.

--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -349,6 +349,11 @@
         resources: RequestResources,
     ) -> Result<TargetResponse, Failure> {
         let protocol = &self.owner.node.protocol;
+        if has_ambiguous_framing(response.headers()) {
+            log::warn!(id = self.request_id.as_str(), target:% = self.address;
+                "target's response has an ambiguous length");
+            return Err(Failure::may_have_run(Reason::TargetFailed));
+        }
         if let Some(failure) = (protocol.target.refusal)(response.status(), response.headers()) {
             if response.status() == StatusCode::SERVICE_UNAVAILABLE {
                 let load = failure.load;
@@ -400,6 +405,20 @@
     }
 }
 
+/// Returns whether the headers leave the length of the body in doubt. The HTTP library reads a body
+/// whose last transfer coding is not `chunked` until the close of the connection, and does not
+/// decode other codings.
+fn has_ambiguous_framing(headers: &HeaderMap) -> bool {
+    let is_chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    !is_single(headers, &TRANSFER_ENCODING, is_chunked)
+}
+
+/// Returns whether the header is absent, or occurs once and is valid.
+fn is_single(headers: &HeaderMap, name: &HeaderName, is_valid: fn(&HeaderValue) -> bool) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_none_or(is_valid) && values.next().is_none()
+}
+
 /// Returns whether a truncated response can be detected. It cannot if the response is delimited by
 /// the close of the connection.
 fn has_framing(response: &http::Response<Incoming>) -> bool {
