Refuse target responses with more than one length

Callers saw a closed connection without a response after `content-length: 12, 12` if the request went through another daemon, and a 200 if it did not; two equal headers gave a 200.

Cause: the HTTP client accepts a list of equal lengths, and the server refuses to write it when the body comes from another daemon and has no length of its own. Ruled out: unequal lengths, signs, empty and too large numbers; the library refuses them (rows of the table). Change: a length that occurs twice or is no single number fails with `MayHaveRun`, as any framing in doubt.

--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -410,7 +410,9 @@
 /// decode other codings.
 fn has_ambiguous_framing(headers: &HeaderMap) -> bool {
     let is_chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    let is_number = |v: &HeaderValue| v.as_bytes().iter().all(u8::is_ascii_digit);
     !is_single(headers, &TRANSFER_ENCODING, is_chunked)
+        || !is_single(headers, &CONTENT_LENGTH, is_number)
 }
 
 /// Returns whether the header is absent, or occurs once and is valid.
--- a/crates/daemon/tests/malformed_responses.rs
+++ b/crates/daemon/tests/malformed_responses.rs
@@ -94,6 +94,18 @@
             Keep,
             Failed,
         ),
+        row(
+            "equal lengths",
+            "content-length: 12\r\ncontent-length: 12\r\n\r\nhello world!",
+            Keep,
+            Failed,
+        ),
+        row(
+            "list of equal lengths",
+            "content-length: 12, 12\r\n\r\nhello world!",
+            Keep,
+            Failed,
+        ),
         row(
             "different lengths",
             "content-length: 12\r\ncontent-length: 5\r\n\r\nhello world!",
