Refuse a switch of protocols by the target

Callers saw a 101 with an empty body that they had not asked for.

Cause: the HTTP library returns a 101 as a final response, and the daemon passed it on. The header `upgrade` is a hop-by-hop header, which the daemon does not send to the target, so no 101 can be right. Ruled out: other interim responses; the library skips them (row "interim response in place of the final one"). Change: a 101 fails with `MayHaveRun`.

--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -349,9 +349,11 @@
         resources: RequestResources,
     ) -> Result<TargetResponse, Failure> {
         let protocol = &self.owner.node.protocol;
-        if has_ambiguous_framing(response.headers()) {
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS
+            || has_ambiguous_framing(response.headers())
+        {
             log::warn!(id = self.request_id.as_str(), target:% = self.address;
-                "target's response has an ambiguous length");
+                "target's response switches protocols or has an ambiguous length");
             return Err(Failure::may_have_run(Reason::TargetFailed));
         }
         if let Some(failure) = (protocol.target.refusal)(response.status(), response.headers()) {
--- a/crates/daemon/tests/malformed_responses.rs
+++ b/crates/daemon/tests/malformed_responses.rs
@@ -324,6 +324,13 @@
             Close,
             Failed,
         ),
+        status_row(
+            "switch of protocols",
+            "HTTP/1.1 101 Switching Protocols",
+            "upgrade: other\r\nconnection: upgrade\r\n\r\nbytes of another protocol",
+            Keep,
+            Failed,
+        ),
         status_row(
             "interim response in place of the final one",
             "HTTP/1.1 103 Early Hints",
