Refuse target responses that repeat the request id

Callers saw a 200 with an empty body, framed as whole, after the target stopped within a header value of its response and went on with another response: the status line of the second became part of the value, and its length and its id joined the headers of the first.

Cause: a response matched its request if all its ids were equal, however many there were. Two ids mean two heads. Ruled out: another id among them, or none; both failed before (rows of `faulty_targets`). A head that ends with its connection fails at any byte (`response_cut_at_any_byte_does_not_look_complete`). Change: a response matches with exactly one id. Not covered: a head that is cut within a value before its id.

--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -299,13 +299,14 @@
     }
 
     /// Returns whether the response cannot be attributed to this request: it carries another
-    /// request's identifier, or none although the protocol requires it.
+    /// request's identifier, more than one, or none although the protocol requires it.
     fn is_mismatched(&self, response: &http::Response<Incoming>) -> bool {
         let name = &self.owner.node.protocol.headers.request_id;
-        let mut echoed = response.headers().get_all(name).iter().peekable();
-        let is_missing = echoed.peek().is_none();
-        let is_required = self.owner.node.protocol.caller.requires_request_id;
-        is_missing && is_required || echoed.any(|id| id.as_bytes() != self.request_id.as_bytes())
+        let mut echoed = response.headers().get_all(name).iter();
+        match echoed.next() {
+            None => self.owner.node.protocol.caller.requires_request_id,
+            Some(id) => id.as_bytes() != self.request_id.as_bytes() || echoed.next().is_some(),
+        }
     }
 
     /// Checks ownership and the deadline. Called once a connection is open, since ownership can be
--- a/crates/daemon/tests/malformed_responses.rs
+++ b/crates/daemon/tests/malformed_responses.rs
@@ -385,6 +385,12 @@
             method: "HEAD",
             ..row("HEAD, reset", "content-length: 12\r\n", Reset, Failed)
         },
+        row(
+            "head cut within a value, then another response",
+            "x-a: bHTTP/1.1 503 No\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n",
+            Keep,
+            Failed,
+        ),
     ]
 }
 
