Do not take contradictory responses for refusals

In the project's own interface, a 200 with the verdict `NotRun` was passed on as a success.

Ruled out: the id; such a response carries the right one, for example two heads joined by a cut. A slot is given back as refused only after the verdict `NotRun`.

--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -358,7 +358,8 @@
             return Err(Failure::may_have_run(Reason::TargetFailed));
         }
         if let Some(failure) = (protocol.target.refusal)(response.status(), response.headers()) {
-            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let is_refused = failure.verdict == Verdict::NotRun;
+            if is_refused && response.status() == StatusCode::SERVICE_UNAVAILABLE {
                 let load = failure.load;
                 let requests = usize::from(load.running) + usize::from(load.queued);
                 // A target that does not report its load counts as full.
--- a/crates/daemon/src/protocol.rs
+++ b/crates/daemon/src/protocol.rs
@@ -86,7 +86,7 @@
     /// Whether grants are sent as replies to reports. Otherwise the daemon sends them on its own.
     pub grants_by_report: bool,
     /// Returns the failure when a response shows that the target refused the request and did not
-    /// run it.
+    /// run it, or `MayHaveRun` when the response contradicts itself about that.
     pub refusal: fn(StatusCode, &HeaderMap) -> Option<Failure>,
     /// Whether the close of the connection may delimit a response body. A truncated response can
     /// then be recognised only by a reset of the connection.
@@ -171,7 +171,13 @@
         StatusCode::PRECONDITION_FAILED,
     ];
     let verdict = map.get(headers::VERDICT)?.to_str().ok()?;
-    if !refused.contains(&status) || Verdict::parse(verdict) != Some(Verdict::NotRun) {
+    if Verdict::parse(verdict) != Some(Verdict::NotRun) {
+        return None;
+    }
+    if status.is_success() {
+        return Some(Failure::may_have_run(Reason::TargetFailed));
+    }
+    if !refused.contains(&status) {
         return None;
     }
     if status == StatusCode::PRECONDITION_FAILED {
--- a/crates/daemon/tests/malformed_responses.rs
+++ b/crates/daemon/tests/malformed_responses.rs
@@ -391,6 +391,12 @@
             Keep,
             Failed,
         ),
+        row(
+            "success that claims not to have run",
+            "x-masticdeal-verdict: NotRun\r\ncontent-length: 12\r\n\r\nhello world!",
+            Keep,
+            Failed,
+        ),
     ]
 }
 
