Test endless bytes on idle connections and after a grant

Surplus bytes are also sent after a pause, when the connection is idle. A grant, the only call that the daemon makes to a target by itself, ends by its time-out with every kind of response without end.

--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -9,6 +9,7 @@
     start_pair_with_protocol, wait_until,
 };
 use googletest::prelude::*;
+use masticdeal_wire::target::Grant;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -147,12 +148,19 @@
 
 impl Fixture {
     async fn start(row: &Row, is_trickle: bool) -> Self {
+        Self::start_with_pause(row, is_trickle, Duration::ZERO).await
+    }
+
+    /// Starts a target that pauses before the bytes without end.
+    async fn start_with_pause(row: &Row, is_trickle: bool, pause: Duration) -> Self {
         let start = Step::Send(row.start.to_owned());
         let endless = match is_trickle {
             true => Step::Trickle(row.endless.to_owned()),
             false => Step::Repeat(row.endless.repeat(1_000)),
         };
-        let target = FaultyTarget::start(move |_, _, _| vec![start.clone(), endless.clone()]).await;
+        let pause = Step::Wait(pause);
+        let steps = vec![start, pause, endless];
+        let target = FaultyTarget::start(move |_, _, _| steps.clone()).await;
         let (ingress, owner) =
             start_pair_with_protocol(target.address, identifying_protocol, |_| {}).await;
         let name = format!("{} trickle={is_trickle}", row.name);
@@ -276,9 +284,12 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_surplus_closes_the_connection() {
-    for (row, is_trickle) in SURPLUS.iter().flat_map(|row| [(row, false), (row, true)]) {
-        let fixture = Fixture::start(row, is_trickle).await;
-        let name = &fixture.name;
+    // With the pause, the bytes arrive on an idle connection.
+    let pauses = [Duration::ZERO, Duration::from_millis(20)];
+    let rows = SURPLUS.iter().flat_map(|row| [(row, false), (row, true)]);
+    for ((row, is_trickle), pause) in rows.flat_map(|row| pauses.map(|pause| (row, pause))) {
+        let fixture = Fixture::start_with_pause(row, is_trickle, pause).await;
+        let name = format!("{} pause={pause:?}", fixture.name);
         for address in [fixture.ingress.caller_address, fixture.owner.caller_address] {
             let mut caller = Caller::connect(address).await;
             for _ in 0..5 {
@@ -302,3 +313,32 @@
         );
     }
 }
+
+/// Guards against a call for a grant that outlasts its time-out, or reads on after it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_response_to_a_grant_ends_by_its_timeout() {
+    let rows = HEADS.iter().chain(&BODIES).chain(&SURPLUS);
+    for (row, is_trickle) in rows.flat_map(|row| [(row, false), (row, true)]) {
+        let fixture = Fixture::start(row, is_trickle).await;
+        for sequence in 0..2 {
+            let grant = Grant {
+                session: 1,
+                sequence,
+                until_boot_ms: 0,
+                shards: vec![],
+                keys: vec![],
+            };
+            let start = Instant::now();
+            let _ = fixture.owner.owner.send_grant(&grant, DEADLINE).await;
+            expect_that!(start.elapsed(), lt(DEADLINE + SLACK), "{}", fixture.name);
+        }
+        fixture.expect_released().await;
+        expect_that!(
+            fixture.target.sent_bytes(),
+            lt(10 * MAX_HEAD_BYTES),
+            "{}",
+            fixture.name
+        );
+    }
+}
