--- a/crates/daemon/src/owner/run.rs
+++ b/crates/daemon/src/owner/run.rs
@@ -300,13 +300,14 @@
     }
 
     /// Returns whether the response cannot be attributed to this request: it carries another
-    /// request's identifier, or none although the protocol requires it.
+    /// request's identifier, more than one, or none although the protocol requires it.
     fn is_mismatched(&self, response: &http::Response<Incoming>) -> bool {
         let name = &self.owner.node.protocol.headers.request_id;
-        let mut echoed = response.headers().get_all(name).iter().peekable();
-        let is_missing = echoed.peek().is_none();
-        let is_required = self.owner.node.protocol.caller.requires_request_id;
-        is_missing && is_required || echoed.any(|id| id.as_bytes() != self.request_id.as_bytes())
+        let mut echoed = response.headers().get_all(name).iter();
+        match echoed.next() {
+            None => self.owner.node.protocol.caller.requires_request_id,
+            Some(id) => id.as_bytes() != self.request_id.as_bytes() || echoed.next().is_some(),
+        }
     }
 
     /// Checks ownership and the deadline. Called once a connection is open, since ownership can be
@@ -351,6 +352,13 @@
         sent_at: Duration,
     ) -> Result<TargetResponse, Failure> {
         let protocol = &self.owner.node.protocol;
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS
+            || has_ambiguous_framing(response.headers())
+        {
+            log::warn!(id = self.request_id.as_str(), target:% = self.address;
+                "target's response switches protocols or has an ambiguous length");
+            return Err(Failure::may_have_run(Reason::TargetFailed));
+        }
         if let Some(failure) = (protocol.target.refusal)(response.status(), response.headers()) {
             if let Some((shard, _)) = self.ownership.key
                 && failure.reason == Reason::Moving
@@ -360,7 +368,8 @@
                     .granted_shards
                     .record_refusal(sent_at, shard);
             }
-            if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let is_refused = failure.verdict == Verdict::NotRun;
+            if is_refused && response.status() == StatusCode::SERVICE_UNAVAILABLE {
                 let load = failure.load;
                 let requests = usize::from(load.running) + usize::from(load.queued);
                 // A target that does not report its load counts as full.
@@ -410,6 +419,22 @@
     }
 }
 
+/// Returns whether the headers leave the length of the body in doubt. The HTTP library reads a body
+/// whose last transfer coding is not `chunked` until the close of the connection, and does not
+/// decode other codings.
+fn has_ambiguous_framing(headers: &HeaderMap) -> bool {
+    let is_chunked = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"chunked");
+    let is_number = |v: &HeaderValue| v.as_bytes().iter().all(u8::is_ascii_digit);
+    !is_single(headers, &TRANSFER_ENCODING, is_chunked)
+        || !is_single(headers, &CONTENT_LENGTH, is_number)
+}
+
+/// Returns whether the header is absent, or occurs once and is valid.
+fn is_single(headers: &HeaderMap, name: &HeaderName, is_valid: fn(&HeaderValue) -> bool) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.next().is_none_or(is_valid) && values.next().is_none()
+}
+
 /// Returns whether a truncated response can be detected. It cannot if the response is delimited by
 /// the close of the connection.
 fn has_framing(response: &http::Response<Incoming>) -> bool {
