Wait a lease for a restarted process when restoring the table

What callers saw: nothing yet; found by reading. After the platform's store came back from an older copy, two targets could hold one key for up to a lease.

Cause: a member collects the tables of all sessions and writes the newest one back at once if all replied. The daemon pulled from the address of a session and took any reply for one of that session. A process that restarted there replies with an older table. If the process before it alone knew the newest version, its target still holds the grants of that version while the owner in the older one serves.

Ruled out: counting a restarted process as silent. It shows that the process before it has ended, so no lessor renews that session.

Change: a collection reports who replied: all sessions, another process at the address of one, or nobody at an address. Only the first permits a write without the wait. The reply to a pull names the session of its sender in the field `origin`, which was empty in replies; an older daemon's empty field counts as a restarted process. Forwarding along the tree moved to the handler of updates. The model distinguishes the three as well.

Evidence: restarted_process_does_not_replace_the_wait_of_a_lease; before, the event could not express the case.

--- a/crates/daemon/src/control/config_restoration.rs
+++ b/crates/daemon/src/control/config_restoration.rs
@@ -103,7 +103,7 @@
             .control(member, PATH_PULL, &Pull { versions }, PEER_CALL_TIMEOUT)
             .await;
         match reply {
-            Ok(update) => self.apply_update(update),
+            Ok(update) => self.apply_update(&update),
             Err(e) => log::debug!("pull of the configuration from {member} failed: {e}"),
         }
     }
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -9,7 +9,7 @@
 
 use masticdeal_ownership::dissemination_tree;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_ownership::lease::Event;
+use masticdeal_ownership::lease::{CollectionReplies, Event};
 use masticdeal_wire::headers::{PATH_PULL, PATH_UPDATE};
 use masticdeal_wire::peer::{Pull, Update, Versions};
 
@@ -41,9 +41,8 @@
         }
     }
 
-    /// Applies an update from a peer. Forwards it if it came along the tree and is newer than those
-    /// forwarded before. The reply to a pull has no origin and is not forwarded.
-    pub(super) fn apply_update(self: &Arc<Self>, update: Update) {
+    /// Applies an update from a peer.
+    pub(super) fn apply_update(self: &Arc<Self>, update: &Update) {
         if let Some(config) = &update.config {
             self.config.install(config);
         }
@@ -56,6 +55,10 @@
         } else if !update.deltas.is_empty() {
             self.handle_event(Event::DeltasReceived(update.deltas.clone()));
         }
+    }
+
+    /// Forwards an update that came along the tree, if it is newer than those forwarded before.
+    pub(super) fn forward_update(self: &Arc<Self>, update: Update) {
         if update.origin.is_some() && self.mark_disseminated(&update) {
             self.disseminate(update);
         }
@@ -77,7 +80,10 @@
 
     /// Returns an update with everything newer than `versions`.
     pub(super) fn updates_since(&self, versions: Versions) -> Update {
-        let mut update = Update::default();
+        let mut update = Update {
+            origin: self.session(),
+            ..Update::default()
+        };
         let current = self.config.current();
         if current.revision > versions.config {
             update.config = Some(current);
@@ -101,17 +107,20 @@
         self.pull_and_apply(from).await;
     }
 
-    /// Pulls and applies an update from one session. Returns whether the session replied.
-    pub(super) async fn pull_and_apply(self: &Arc<Self>, from: SessionId) -> bool {
+    /// Pulls and applies an update from one session. Returns who replied.
+    pub(super) async fn pull_and_apply(self: &Arc<Self>, from: SessionId) -> CollectionReplies {
         let pull = Pull {
             versions: self.node.versions(),
         };
         let update: Option<Update> = self.call(from, PATH_PULL, &pull, PEER_CALL_TIMEOUT).await;
-        let replied = update.is_some();
-        if let Some(update) = update {
-            self.apply_update(update);
+        let Some(update) = update else {
+            return CollectionReplies::SilentAddress;
+        };
+        self.apply_update(&update);
+        match update.origin == Some(from) {
+            true => CollectionReplies::AllSessions,
+            false => CollectionReplies::RestartedSession,
         }
-        replied
     }
 
     /// Pulls table and configuration from peers when the daemon starts while the platform's store
@@ -128,7 +137,7 @@
                 .control(seed, PATH_PULL, &pull, PEER_CALL_TIMEOUT)
                 .await;
             match reply {
-                Ok(update) => self.apply_update(update),
+                Ok(update) => self.apply_update(&update),
                 Err(e) => {
                     // Logs under the module's former name, which operators' filters use.
                     log::warn!(target: "masticdeald::control::news",
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -52,7 +52,8 @@
             headers::PATH_EXPIRED => encode(&self.on_expiry_query(decode(frame)?)?),
             headers::PATH_UPDATE => {
                 let update: Update = decode(frame)?;
-                self.apply_update(update);
+                self.apply_update(&update);
+                self.forward_update(update);
                 encode(&self.node.versions())
             }
             headers::PATH_PULL => {
--- a/crates/daemon/src/control/restoration.rs
+++ b/crates/daemon/src/control/restoration.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::join_all;
 use masticdeal_ownership::ids::ChangeId;
-use masticdeal_ownership::lease::{Event, Outcome};
+use masticdeal_ownership::lease::{CollectionReplies, Event, Outcome};
 use masticdeal_ownership::table::Table;
 use masticdeal_wire::peer::Update;
 
@@ -20,14 +20,13 @@
         let table = self.node.table.borrow().clone();
         let others = table.sessions.iter().map(|s| s.id);
         let others = others.filter(|id| Some(*id) != me);
-        let replied = join_all(others.map(|session| self.pull_and_apply(session))).await;
-        let all_replied = replied.iter().all(|replied| *replied);
-        log::info!(table = version, sessions = replied.len(), all_replied;
+        let replies = join_all(others.map(|session| self.pull_and_apply(session))).await;
+        let sessions = replies.len();
+        let replies = replies.into_iter().max();
+        let replies = replies.unwrap_or(CollectionReplies::AllSessions);
+        log::info!(table = version, sessions, replies:?;
             "collected the tables of other daemons");
-        self.handle_event(Event::TablesCollected {
-            version,
-            all_replied,
-        });
+        self.handle_event(Event::TablesCollected { version, replies });
     }
 
     /// Writes the restored table and disseminates it.
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -21,7 +21,8 @@
 mod writer;
 
 pub use api::{
-    CoreSettings, DeclaredService, Effect, Event, ExpiryQuery, Grants, HeldShard, Identity,
-    JoinRequest, MoveWriter, Outcome, Refusal, Renewal, Rule, TargetReport, override_shard,
+    CollectionReplies, CoreSettings, DeclaredService, Effect, Event, ExpiryQuery, Grants,
+    HeldShard, Identity, JoinRequest, MoveWriter, Outcome, Refusal, Renewal, Rule, TargetReport,
+    override_shard,
 };
 pub use core::Core;
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -62,6 +62,17 @@
     }
 }
 
+/// Who replied to a collection of tables. The last variant that applies to a pull counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CollectionReplies {
+    /// All sessions replied.
+    AllSessions,
+    /// Another process replied at the address of a session, whose own process has therefore ended.
+    RestartedSession,
+    /// An address did not reply.
+    SilentAddress,
+}
+
 /// A safety rule of the lease, numbered as in section 6 of the design page.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 pub enum Rule {
@@ -251,8 +262,8 @@
     TablesCollected {
         /// The version in the effect.
         version: u64,
-        /// Whether all other sessions in the table of that version replied.
-        all_replied: bool,
+        /// Who replied.
+        replies: CollectionReplies,
     },
     /// A whole table arrived from a peer or a watch.
     TableReceived(Arc<Table>),
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -171,10 +171,9 @@
                 store_era,
             } => self.handle_table_read(now, read, table, store_era),
             Event::StoreEra(era) => self.record_store_era(now, era),
-            Event::TablesCollected {
-                version,
-                all_replied,
-            } => self.record_collection(now, version, all_replied),
+            Event::TablesCollected { version, replies } => {
+                self.record_collection(now, version, replies)
+            }
             Event::TableReceived(table) => self.install_table(now, table, None),
             Event::DeltasReceived(deltas) => self.apply_deltas(now, &deltas),
             Event::SwapOutcome { change_id, outcome } => {
--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::api::{Effect, Rule};
+use super::api::{CollectionReplies, Effect, Rule};
 use super::core::Core;
 use super::lessee::lessor_lease_length;
 use crate::ids::ChangeId;
@@ -36,9 +36,8 @@
     since: Duration,
     /// Version of the copy of the table in the store, once it was read in this era.
     stored_version: Option<u64>,
-    /// Last completed collection: the version of the own table at its start, and whether all
-    /// sessions replied.
-    collected: Option<(u64, bool)>,
+    /// Last completed collection: the version of the own table at its start, and who replied.
+    collected: Option<(u64, CollectionReplies)>,
     /// End of the pause before the next collection or write.
     not_before: Duration,
     /// The write in progress.
@@ -97,15 +96,17 @@
         }
     }
 
-    pub(super) fn record_collection(&mut self, now: Duration, version: u64, all_replied: bool) {
-        let lease_passed_at = self.lease_passed_at();
+    pub(super) fn record_collection(
+        &mut self,
+        now: Duration,
+        version: u64,
+        replies: CollectionReplies,
+    ) {
+        let write_at = self.restoration_write_at(replies);
         if let Some(restoration) = &mut self.restoration {
-            restoration.collected = Some((version, all_replied));
             let retry_at = now + self.settings.renew_interval;
-            restoration.not_before = match all_replied && self.session.is_some() {
-                true => now,
-                false => lease_passed_at.map_or(retry_at, |at| retry_at.min(at.max(now))),
-            };
+            restoration.collected = Some((version, replies));
+            restoration.not_before = write_at.map_or(retry_at, |at| retry_at.min(at.max(now)));
         }
     }
 
@@ -144,9 +145,12 @@
         if now < due_at || self.writer.is_ending() {
             return true;
         }
-        let lease_passed = self.lease_passed_at().is_some_and(|at| now >= at)
-            || self.settings.disabled_rule == Some(Rule::RestorationWait);
-        let is_member = self.session.is_some();
+        let collected = self.restoration.as_ref().and_then(|r| r.collected);
+        let newest = collected.filter(|(version, _)| *version == self.table.version);
+        let write_at = newest.and_then(|(_, replies)| self.restoration_write_at(replies));
+        let may_write = write_at.is_some_and(|at| {
+            now >= at || self.settings.disabled_rule == Some(Rule::RestorationWait)
+        });
         let Some(restoration) = &mut self.restoration else {
             return false;
         };
@@ -155,11 +159,8 @@
             self.effects.extend(self.writer.start_read(now));
             return true;
         };
-        let collected = restoration.collected;
-        let all_replied = collected == Some((self.table.version, true)) && is_member;
-        let is_newest = collected.is_some_and(|(version, _)| version == self.table.version);
         restoration.not_before = now + RESULT_TIMEOUT;
-        if all_replied || (lease_passed && is_newest) {
+        if may_write {
             self.write_restored_table(now, stored_version);
         } else {
             self.effects.push(Effect::CollectTables {
@@ -204,8 +205,13 @@
         Some(restoration.not_before.max(start_at))
     }
 
-    fn lease_passed_at(&self) -> Option<Duration> {
+    /// Returns when the table may be written after a collection with these replies.
+    fn restoration_write_at(&self, replies: CollectionReplies) -> Option<Duration> {
         let since = self.restoration.as_ref()?.since;
-        Some(since + lessor_lease_length(&self.settings))
+        let lease_passed_at = since + lessor_lease_length(&self.settings);
+        Some(match replies {
+            CollectionReplies::AllSessions if self.session.is_some() => since,
+            _ => lease_passed_at,
+        })
     }
 }
--- a/crates/ownership/tests/restoration.rs
+++ b/crates/ownership/tests/restoration.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use masticdeal_ownership::change::{Change, Delta};
 use masticdeal_ownership::ids::{ChangeId, SessionId};
-use masticdeal_ownership::lease::{Core, CoreSettings, Effect, Event, Identity};
+use masticdeal_ownership::lease::{CollectionReplies, Core, CoreSettings, Effect, Event, Identity};
 use masticdeal_ownership::table::{Session, Table};
 
 fn identity() -> Identity {
@@ -67,7 +67,7 @@
                 collections += 1;
                 Some(Event::TablesCollected {
                     version: *version,
-                    all_replied: true,
+                    replies: CollectionReplies::AllSessions,
                 })
             }
             Effect::RestoreTable { .. } => {
@@ -121,3 +121,92 @@
     }
     expect_that!(served_before, eq(true));
 }
+
+/// Returns a table with the session of [`identity`] and its lessor.
+fn table_of_two() -> Arc<Table> {
+    let mut lessor = table_of_one().sessions[0].clone();
+    lessor.incarnation = 2;
+    lessor.address = "127.0.0.2:1000".parse().expect("address");
+    let mut own = table_of_one().sessions[0].clone();
+    own.lessors = vec![SessionId(0)];
+    let mut table = Table::default();
+    for session in [lessor, own] {
+        let delta = Delta {
+            to_version: table.version + 1,
+            change_id: ChangeId(table.version + 1),
+            changes: vec![Change::Join { session }],
+        };
+        table = table.apply(&delta).expect("join applies");
+    }
+    Arc::new(table)
+}
+
+/// Returns how long after it learned of a new era a daemon with the table writes it back.
+fn time_until_write(table: &Arc<Table>, replies: CollectionReplies, renewed: bool) -> Duration {
+    let settings = CoreSettings::default();
+    let mut core = Core::new(settings.clone(), identity());
+    let mut now = Duration::ZERO;
+    let mut effects = core.handle(now, Event::TableReceived(table.clone()));
+    let restored_at = 2 * settings.lease;
+    while now < restored_at + Duration::from_secs(20) {
+        let event = match effects.pop() {
+            Some(Effect::SendRenew(renewal)) => Event::RenewReply {
+                lessor: renewal.lessor,
+                sequence: renewal.sequence,
+                granted: renewed,
+                version: table.version,
+            },
+            Some(Effect::ReadTable { read }) => Event::TableRead {
+                read,
+                table: Some(table.clone()),
+                store_era: u64::from(now >= restored_at),
+            },
+            Some(Effect::CollectTables { version }) => Event::TablesCollected { version, replies },
+            Some(Effect::RestoreTable { .. }) => return now - restored_at,
+            Some(_) => continue,
+            None => {
+                now += Duration::from_millis(1);
+                match now == restored_at {
+                    true => Event::StoreEra(1),
+                    false => Event::Tick,
+                }
+            }
+        };
+        effects.extend(core.handle(now, event));
+    }
+    panic!("the table is not written back");
+}
+
+/// Guards against a restarted process that vouches for the grants of the process before it.
+#[googletest::test]
+fn restarted_process_does_not_replace_the_wait_of_a_lease() {
+    struct Case {
+        name: &'static str,
+        replies: CollectionReplies,
+        waits: bool,
+    }
+    let cases = [
+        Case {
+            name: "the session replied",
+            replies: CollectionReplies::AllSessions,
+            waits: false,
+        },
+        Case {
+            name: "another process replied at its address",
+            replies: CollectionReplies::RestartedSession,
+            waits: true,
+        },
+        Case {
+            name: "nobody replied",
+            replies: CollectionReplies::SilentAddress,
+            waits: true,
+        },
+    ];
+    let lease = CoreSettings::default().lease;
+    for case in cases {
+        let waited = time_until_write(&table_of_two(), case.replies, true);
+        let expected = waited >= lease;
+        expect_that!(expected, eq(case.waits), "{}: {waited:?}", case.name);
+        expect_that!(waited, lt(2 * lease), "{}", case.name);
+    }
+}
--- a/crates/ownership/tests/restored_swaps.rs
+++ b/crates/ownership/tests/restored_swaps.rs
@@ -7,7 +7,7 @@
 use masticdeal_ownership::change::{Change, Delta};
 use masticdeal_ownership::ids::{ChangeId, SessionId};
 use masticdeal_ownership::lease::{
-    Core, CoreSettings, Effect, Event, Identity, Outcome, TargetReport,
+    CollectionReplies, Core, CoreSettings, Effect, Event, Identity, Outcome, TargetReport,
 };
 use masticdeal_ownership::table::{Session, Table, TargetState};
 
@@ -101,7 +101,7 @@
             }
             Some(Effect::CollectTables { version }) => Event::TablesCollected {
                 version,
-                all_replied: false,
+                replies: CollectionReplies::SilentAddress,
             },
             Some(Effect::RestoreTable { .. }) => {
                 calls.restores += 1;
--- a/crates/ownership/tests/sim/restorable_store.rs
+++ b/crates/ownership/tests/sim/restorable_store.rs
@@ -6,12 +6,13 @@
 //! the revision that it names belongs to another table by then.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use masticdeal_ownership::checker;
 use masticdeal_ownership::ids::{ChangeId, SessionId};
-use masticdeal_ownership::lease::{Event, Outcome};
+use masticdeal_ownership::lease::{CollectionReplies, Event, Outcome};
 use masticdeal_ownership::table::Table;
 use rand::RngExt;
 
@@ -54,12 +55,16 @@
     collections: Vec<Collection>,
 }
 
+/// The address of a pull, and the session that is expected there.
+type Peer = (SocketAddr, SessionId);
+
 /// Pulls from all other sessions.
 #[derive(Debug)]
 struct Collection {
     id: u64,
     version: u64,
-    waiting: BTreeSet<SessionId>,
+    waiting: BTreeSet<Peer>,
+    replies: CollectionReplies,
 }
 
 /// A call and what its reply is for.
@@ -105,8 +110,9 @@
     /// A VM notices by a watch that the store came back.
     Watch(usize),
     /// A pull reaches the VM.
-    Pull(usize, u64, u64, SessionId, usize),
-    Pulled(usize, u64, u64, SessionId, Arc<Table>),
+    Pull(usize, u64, u64, Peer, usize),
+    /// The reply has the session of the process that sent it.
+    Pulled(usize, u64, u64, Peer, Option<SessionId>, Arc<Table>),
     CollectionTimeout(usize, u64, u64),
 }
 
@@ -143,20 +149,20 @@
                     self.request_store(vm, Request::Watch);
                 }
             }
-            StoreEvent::Pull(vm, process, id, session, responder) => {
+            StoreEvent::Pull(vm, process, id, peer, responder) => {
                 let core = self.vms[responder].core.as_ref();
                 let core = core.filter(|_| !self.vms[responder].is_paused(self.now));
-                if let Some(table) = core.map(|c| c.table().clone())
+                if let Some((session, table)) = core.map(|c| (c.session(), c.table().clone()))
                     && let Some(delay) = self.message_delay(responder, vm)
                 {
-                    let event = StoreEvent::Pulled(vm, process, id, session, table);
+                    let event = StoreEvent::Pulled(vm, process, id, peer, session, table);
                     self.schedule(delay, SimEvent::Store(event));
                 }
             }
-            StoreEvent::Pulled(vm, process, id, session, table) => {
+            StoreEvent::Pulled(vm, process, id, peer, session, table) => {
                 if self.vms[vm].process == process {
                     self.deliver(vm, Event::TableReceived(table));
-                    self.record_pulled(vm, id, Some(session));
+                    self.record_pulled(vm, id, Some((peer, session)));
                 }
             }
             StoreEvent::CollectionTimeout(vm, process, id) => {
@@ -436,53 +442,59 @@
         let Some(core) = &vm.core else { return };
         let (me, table) = (core.session(), core.table().clone());
         let others = table.sessions.iter().filter(|s| Some(s.id) != me);
-        let others: Vec<_> = others.map(|s| (s.id, s.address)).collect();
+        let others: BTreeSet<_> = others.map(|s| (s.address, s.id)).collect();
         vm.store.calls += 1;
         let (process, id) = (vm.process, vm.store.calls);
         vm.store.collections.push(Collection {
             id,
             version,
-            waiting: others.iter().map(|(session, _)| *session).collect(),
+            waiting: others.clone(),
+            replies: CollectionReplies::AllSessions,
         });
-        for (session, address) in others {
+        let is_alone = others.is_empty();
+        for (address, session) in others {
             if let Some(&responder) = self.addresses.get(&address)
                 && let Some(delay) = self.message_delay(index, responder)
             {
-                let event = StoreEvent::Pull(index, process, id, session, responder);
+                let event = StoreEvent::Pull(index, process, id, (address, session), responder);
                 self.schedule(delay, SimEvent::Store(event));
             }
         }
         let timeout = StoreEvent::CollectionTimeout(index, process, id);
         self.schedule(COLLECTION_TIMEOUT, SimEvent::Store(timeout));
-        if table.sessions.iter().all(|s| Some(s.id) == me) {
+        if is_alone {
             let event = StoreEvent::CollectionTimeout(index, process, id);
             self.schedule(Duration::from_micros(200), SimEvent::Store(event));
         }
     }
 
-    /// Records the reply of a session, or with `None` the time-out of the collection.
-    fn record_pulled(&mut self, vm: usize, id: u64, session: Option<SessionId>) {
+    /// Records the reply of the process with a session, or with `None` the time-out of the
+    /// collection.
+    fn record_pulled(&mut self, vm: usize, id: u64, reply: Option<(Peer, Option<SessionId>)>) {
         let collections = &mut self.vms[vm].store.collections;
         let Some(index) = collections.iter().position(|c| c.id == id) else {
             return;
         };
         let collection = &mut collections[index];
-        if let Some(session) = session {
-            collection.waiting.remove(&session);
+        if let Some((peer, session)) = reply {
+            collection.waiting.remove(&peer);
+            if session != Some(peer.1) {
+                let restarted = CollectionReplies::RestartedSession;
+                collection.replies = collection.replies.max(restarted);
+            }
             if !collection.waiting.is_empty() {
                 return;
             }
         }
         let Collection {
-            version, waiting, ..
+            version,
+            waiting,
+            mut replies,
+            ..
         } = collections.swap_remove(index);
-        let all_replied = waiting.is_empty();
-        self.deliver(
-            vm,
-            Event::TablesCollected {
-                version,
-                all_replied,
-            },
-        );
+        if !waiting.is_empty() {
+            replies = CollectionReplies::SilentAddress;
+        }
+        self.deliver(vm, Event::TablesCollected { version, replies });
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -76,8 +76,8 @@
 /// dissemination tree.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Update {
-    /// The daemon that sent the update first, which is the root of the dissemination tree; `None`
-    /// in a reply to a pull.
+    /// The daemon that sent the update first, which is the root of the dissemination tree. In a
+    /// reply to a pull, the session of the sender.
     pub origin: Option<SessionId>,
     /// Consecutive deltas, oldest first; empty if `table` is set or the table is not newer.
     pub deltas: Vec<Delta>,
