--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -9,13 +9,15 @@
 //! write waits until all sessions have replied or a lease has passed. A process that has not joined
 //! may miss sessions in its table and always waits for the lease.
 //!
-//! This does not cover a daemon without the newest table that reaches the store but none of the
-//! daemons that have it, while these renew each other.
+//! A session that still has a lease then was renewed in the new era, so no lost version ended it.
+//! Any other process may have missed its own end, or all sessions, and the silent ones may renew
+//! each other. It waits [`SILENCE_TIMEOUT`] for their reply. A fleet of which some VMs are lost for
+//! good must recover by itself, so daemons that are cut off for longer are not covered.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::api::{Effect, Rule};
+use super::api::{CollectionReplies, Effect, Rule};
 use super::core::Core;
 use super::lessee::lessor_lease_length;
 use crate::ids::ChangeId;
@@ -29,6 +31,9 @@
 /// Time after which a collection or a write without a result is repeated.
 const RESULT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a process without a lease waits for the reply of silent sessions.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Restoration in progress.
 #[derive(Debug)]
 pub(super) struct Restoration {
@@ -36,9 +41,8 @@
     since: Duration,
     /// Version of the copy of the table in the store, once it was read in this era.
     stored_version: Option<u64>,
-    /// Last completed collection: the version of the own table at its start, and whether all
-    /// sessions replied.
-    collected: Option<(u64, bool)>,
+    /// Last completed collection: the version of the own table at its start, and who replied.
+    collected: Option<(u64, CollectionReplies)>,
     /// End of the pause before the next collection or write.
     not_before: Duration,
     /// The write in progress.
@@ -97,15 +101,21 @@
         }
     }
 
-    pub(super) fn record_collection(&mut self, now: Duration, version: u64, all_replied: bool) {
-        let lease_passed_at = self.lease_passed_at();
+    pub(super) fn record_collection(
+        &mut self,
+        now: Duration,
+        version: u64,
+        replies: CollectionReplies,
+    ) {
+        let write_at = self.restoration_write_at(now, replies);
         if let Some(restoration) = &mut self.restoration {
-            restoration.collected = Some((version, all_replied));
-            let retry_at = now + self.settings.renew_interval;
-            restoration.not_before = match all_replied && self.session.is_some() {
-                true => now,
-                false => lease_passed_at.map_or(retry_at, |at| retry_at.min(at.max(now))),
-            };
+            let retry_at = now
+                + match replies {
+                    CollectionReplies::SilentAddress => self.settings.lease,
+                    _ => self.settings.renew_interval,
+                };
+            restoration.collected = Some((version, replies));
+            restoration.not_before = write_at.map_or(retry_at, |at| retry_at.min(at.max(now)));
         }
     }
 
@@ -144,9 +154,12 @@
         if now < due_at || self.writer.is_ending() {
             return true;
         }
-        let lease_passed = self.lease_passed_at().is_some_and(|at| now >= at)
-            || self.settings.disabled_rule == Some(Rule::RestorationWait);
-        let is_member = self.session.is_some();
+        let collected = self.restoration.as_ref().and_then(|r| r.collected);
+        let newest = collected.filter(|(version, _)| *version == self.table.version);
+        let write_at = newest.and_then(|(_, replies)| self.restoration_write_at(now, replies));
+        let may_write = write_at.is_some_and(|at| {
+            now >= at || self.settings.disabled_rule == Some(Rule::RestorationWait)
+        });
         let Some(restoration) = &mut self.restoration else {
             return false;
         };
@@ -155,11 +168,8 @@
             self.effects.extend(self.writer.start_read(now));
             return true;
         };
-        let collected = restoration.collected;
-        let all_replied = collected == Some((self.table.version, true)) && is_member;
-        let is_newest = collected.is_some_and(|(version, _)| version == self.table.version);
         restoration.not_before = now + RESULT_TIMEOUT;
-        if all_replied || (lease_passed && is_newest) {
+        if may_write {
             self.write_restored_table(now, stored_version);
         } else {
             self.effects.push(Effect::CollectTables {
@@ -204,8 +214,16 @@
         Some(restoration.not_before.max(start_at))
     }
 
-    fn lease_passed_at(&self) -> Option<Duration> {
+    /// Returns when the table may be written after a collection with these replies.
+    fn restoration_write_at(&self, now: Duration, replies: CollectionReplies) -> Option<Duration> {
         let since = self.restoration.as_ref()?.since;
-        Some(since + lessor_lease_length(&self.settings))
+        let lease_passed_at = since + lessor_lease_length(&self.settings);
+        Some(match replies {
+            CollectionReplies::AllSessions if self.session.is_some() => since,
+            CollectionReplies::SilentAddress if !self.lessee.has_valid_lease(now) => {
+                since + SILENCE_TIMEOUT
+            }
+            _ => lease_passed_at,
+        })
     }
 }
