Retry the restoration's read when the writer backs off

A daemon whose last read of the store had failed started the restoration of the table up to 1 s late, and with it all moves of keys, although the store had answered again.

Cause: the restoration waited for the result of a read that was not started, because the writer still backed off. Ruled out: the wait of a lease, which ends earlier.

Change: without a read of its own in flight, the restoration tries again after a third of a renewal interval.

Evidence: with reads that fail until the restore, process_without_a_lease_waits_longer_for_silent_sessions fails before (1.05 s and 1 s where a lease to two, 450 to 900 ms, are allowed) and passes now.

--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -164,8 +164,13 @@
             return false;
         };
         let Some(stored_version) = restoration.stored_version else {
-            restoration.not_before = now + RESULT_TIMEOUT;
-            self.effects.extend(self.writer.start_read(now));
+            let read = self.writer.start_read(now);
+            restoration.not_before = match read {
+                Some(_) => now + RESULT_TIMEOUT,
+                // The writer is reading already, or backs off after a failure.
+                None => now + self.settings.renew_interval / 3,
+            };
+            self.effects.extend(read);
             return true;
         };
         restoration.not_before = now + RESULT_TIMEOUT;
--- a/crates/ownership/tests/restoration.rs
+++ b/crates/ownership/tests/restoration.rs
@@ -141,7 +141,8 @@
     Arc::new(table)
 }
 
-/// Returns how long after it learned of a new era a daemon with the table writes it back.
+/// Returns how long after it learned of a new era a daemon with the table writes it back. Unless
+/// `renewed` is set, no lessor and no read of the table extends its lease before.
 fn time_until_write(table: &Arc<Table>, replies: CollectionReplies, renewed: bool) -> Duration {
     let settings = CoreSettings::default();
     let mut core = Core::new(settings.clone(), identity());
@@ -158,7 +159,7 @@
             },
             Some(Effect::ReadTable { read }) => Event::TableRead {
                 read,
-                table: Some(table.clone()),
+                table: (renewed || now >= restored_at).then(|| table.clone()),
                 store_era: u64::from(now >= restored_at),
             },
             Some(Effect::CollectTables { version }) => Event::TablesCollected { version, replies },
