Wait a lease for sessions that the copy lacks

Two sessions could serve a key for up to a lease after the store came back from an older copy: a member that was cut off while another one joined, ended it and took its keys, and that then reached the store first.

Cause: if all sessions in the copy replied, or there were none besides the member, the member wrote the copy back at once. Sessions that joined in lost versions are not in the copy.

Change: only a session whose lease is still valid may write without the wait. Its lessors, or its reads of the store, renewed it, so no lost version ended it.

Evidence: session_without_a_lease_waits_for_sessions_that_the_copy_lacks fails before: both sessions without a lease write after less than a lease of 450 ms.

--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -6,12 +6,12 @@
 //!
 //! A daemon that did not reply may serve shards under a version that nobody else knows. Its lease
 //! ends within a lease unless a lessor renews it, and a reachable lessor knows the version. So the
-//! write waits until all sessions have replied or a lease has passed. A process that has not joined
-//! may miss sessions in its table and always waits for the lease.
+//! write waits until all sessions have replied or a lease has passed. A process without a lease may
+//! miss sessions in its table, and its own end, and always waits for the lease.
 //!
 //! A session that still has a lease then was renewed in the new era, so no lost version ended it.
-//! Any other process may have missed its own end, or all sessions, and the silent ones may renew
-//! each other. It waits [`SILENCE_TIMEOUT`] for their reply. A fleet of which some VMs are lost for
+//! For any other process, silent sessions may renew each other. It waits [`SILENCE_TIMEOUT`] for
+//! their reply. A fleet of which some VMs are lost for
 //! good must recover by itself, so daemons that are cut off for longer are not covered.
 
 use std::sync::Arc;
@@ -223,11 +223,10 @@
     fn restoration_write_at(&self, now: Duration, replies: CollectionReplies) -> Option<Duration> {
         let since = self.restoration.as_ref()?.since;
         let lease_passed_at = since + lessor_lease_length(&self.settings);
+        let has_lease = self.lessee.has_valid_lease(now);
         Some(match replies {
-            CollectionReplies::AllSessions if self.session.is_some() => since,
-            CollectionReplies::SilentAddress if !self.lessee.has_valid_lease(now) => {
-                since + SILENCE_TIMEOUT
-            }
+            CollectionReplies::AllSessions if has_lease => since,
+            CollectionReplies::SilentAddress if !has_lease => since + SILENCE_TIMEOUT,
             _ => lease_passed_at,
         })
     }
--- a/crates/ownership/tests/restoration.rs
+++ b/crates/ownership/tests/restoration.rs
@@ -257,3 +257,41 @@
         expect_that!(waited, all![ge(least), le(most)], "{}", case.name);
     }
 }
+
+/// Guards against a session that was ended in a lost version of the table, and takes up its shards
+/// because all sessions of the copy replied: there may be others.
+#[googletest::test]
+fn session_without_a_lease_waits_for_sessions_that_the_copy_lacks() {
+    struct Case {
+        name: &'static str,
+        table: Arc<Table>,
+        renewed: bool,
+        waits: bool,
+    }
+    let cases = [
+        Case {
+            name: "alone in the copy",
+            table: table_of_one(),
+            renewed: false,
+            waits: true,
+        },
+        Case {
+            name: "alone in the copy, with a lease",
+            table: table_of_one(),
+            renewed: true,
+            waits: false,
+        },
+        Case {
+            name: "its lessor replied",
+            table: table_of_two(),
+            renewed: false,
+            waits: true,
+        },
+    ];
+    let lease = CoreSettings::default().lease;
+    for case in cases {
+        let waited = time_until_write(&case.table, CollectionReplies::AllSessions, case.renewed);
+        expect_that!(waited >= lease, eq(case.waits), "{}: {waited:?}", case.name);
+        expect_that!(waited, lt(2 * lease), "{}", case.name);
+    }
+}
