Say that the store was restored from a backup

Comments spoke of a store that "came back from an older copy" and of numbers that are "given out again", which a newcomer has to translate. They now use the field's words: restored from a backup, reused revisions.

--- a/crates/daemon/src/control/config_restoration.rs
+++ b/crates/daemon/src/control/config_restoration.rs
@@ -1,4 +1,4 @@
-//! Recovers the newest configuration after the platform store came back from an older copy.
+//! Recovers the newest configuration after the platform store was restored from a backup.
 //!
 //! Such a store may have lost the newest configuration, while members have it in force. A daemon
 //! that has no configuration yet therefore asks the members before it uses the stored one. It finds
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -3,7 +3,7 @@
 //! The configuration is one value in the platform's store. A change is accepted by one
 //! compare-and-swap of that value.
 //!
-//! The store may come back from an older copy and lose accepted changes. A daemon that has the newest
+//! The store may be restored from a backup and lose accepted changes. A daemon that has the newest
 //! of them in force writes it back, so that later changes are based on it.
 //!
 //! Invariant: the revision that this daemon publishes never decreases.
--- a/crates/daemon/src/control/key_watch.rs
+++ b/crates/daemon/src/control/key_watch.rs
@@ -18,7 +18,7 @@
 ///
 /// Whenever changes may have been missed, the key is read before the watch continues: after a
 /// failed call, after the store dropped its history, and in a new era of the store. In a new era
-/// revisions are given out again, so a watch from an old revision can be accepted and miss changes.
+/// revisions are reused, so a watch from an old revision can be accepted and miss changes.
 pub struct KeyWatch {
     key: &'static str,
     /// `None` if the key must be read first.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,14 +5,14 @@
 //! - [`messages`]: handles control messages from other daemons.
 //! - [`table_store`], [`config_store`]: the assignment table and the configuration in the
 //!   platform's store.
-//! - [`config_restoration`]: finds the newest configuration after the store came back from an older
-//!   copy.
+//! - [`config_restoration`]: finds the newest configuration after the store was restored from a
+//!   backup.
 //! - [`dissemination`]: sends updates of table and configuration to peers and pulls missing ones.
 //! - [`watcher`]: watches the platform's store, on a few daemons only.
 //! - [`key_watch`]: the watch of one key.
 //! - [`grants`]: refreshes the target's grant and revokes it before a move.
 //! - [`move_reasons`]: reasons of moves, for the journals.
-//! - [`restoration`]: collects and writes the table after the store came back from an older copy.
+//! - [`restoration`]: collects and writes the table after the store was restored from a backup.
 //! - [`reports`]: replies to target reports with grants.
 //! - [`target`]: passes the state of the local target to the lease core.
 //! - [`load_collection`]: collects load and versions from all daemons.
--- a/crates/daemon/src/control/restoration.rs
+++ b/crates/daemon/src/control/restoration.rs
@@ -1,5 +1,5 @@
-//! Collects the tables of all daemons, and writes the restored table, after the platform's store came
-//! back from an older copy.
+//! Collects the tables of all daemons, and writes the restored table, after the platform's store
+//! was restored from a backup.
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -125,7 +125,7 @@
     }
 
     /// Replaces the table by `next` if the stored version is the one that `delta` was applied to,
-    /// and the store has not come back from an older copy since the table was written.
+    /// and the store has not been restored from a backup since the table was written.
     pub async fn swap(&self, next: &Table, delta: &Delta) -> SwapResult {
         let base = delta.to_version - 1;
         let position = self.position_of(base).await;
--- a/crates/daemon/tests/config_store.rs
+++ b/crates/daemon/tests/config_store.rs
@@ -1,4 +1,4 @@
-//! Tests of the configuration in a store that comes back from an earlier copy, in the project's own
+//! Tests of the configuration in a store that is restored from a backup, in the project's own
 //! protocol.
 
 mod common;
--- a/crates/ownership/examples/model.rs
+++ b/crates/ownership/examples/model.rs
@@ -3,7 +3,7 @@
 //! - `model hold FROM COUNT` runs one simulation per seed with every rule, and exits with 1 when a
 //!   run violates an invariant.
 //! - `model lives FROM COUNT` does the same with targets that report their incarnation.
-//! - `model restored FROM COUNT` does the same with a store that comes back from an older copy.
+//! - `model restored FROM COUNT` does the same with a store that is restored from a backup.
 //! - `model minimise SEED` removes faults from a failing run of `restored` and prints the rest.
 //! - `model search RULE FROM COUNT` disables a rule such as `ReadBack`, and prints up to three
 //!   seeds whose run violates an invariant then.
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -407,9 +407,9 @@
         /// Version of the own table.
         version: u64,
     },
-    /// Replace the table in the platform store, which came back from an older copy, by `next`.
-    /// Write it on condition that the store still has the revision under which `stored_version`
-    /// was read in the era of `next`, and report [`Event::SwapOutcome`].
+    /// Replace the table in the platform store, which was restored from a backup, by `next`. Write
+    /// it on condition that the store still has the revision under which `stored_version` was read
+    /// in the era of `next`, and report [`Event::SwapOutcome`].
     RestoreTable {
         /// Id of the change.
         change_id: ChangeId,
--- a/crates/ownership/src/lease/restoration.rs
+++ b/crates/ownership/src/lease/restoration.rs
@@ -1,4 +1,4 @@
-//! Writes the table back after the platform store came back from an older copy.
+//! Writes the table back after the platform store was restored from a backup.
 //!
 //! From the first sign of a new era of the store until a table of that era is installed, this
 //! process starts no other swap. It collects the tables of all sessions, so that every version on
@@ -11,8 +11,8 @@
 //!
 //! A session that still has a lease then was renewed in the new era, so no lost version ended it.
 //! For any other process, silent sessions may renew each other. It waits [`SILENCE_TIMEOUT`] for
-//! their reply. A fleet of which some VMs are lost for
-//! good must recover by itself, so daemons that are cut off for longer are not covered.
+//! their reply. A fleet of which some VMs are lost for good must recover by itself, so daemons that
+//! are cut off for longer are not covered.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,8 +81,8 @@
 
     /// Records the version of the stored table, read in `store_era`.
     ///
-    /// If the stored table is of an earlier era than the own one, a write of that era took effect on
-    /// a revision that was given out again. The table is then restored once more.
+    /// If the stored table is of an earlier era than the own one, a write of that era took effect
+    /// on a revision that was reused. The table is then restored once more.
     pub(super) fn record_stored_version(&mut self, now: Duration, store_era: u64, table: &Table) {
         if store_era != self.store_era {
             return;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -7,8 +7,8 @@
 //! - at most one session may serve a shard,
 //! - a session serves only while its lease is valid,
 //! - the version of the table never decreases,
-//! - no two assignments of a shard have the same epoch, also after the platform store came back from
-//!   an older copy.
+//! - no two assignments of a shard have the same epoch, also after the platform store was restored
+//!   from a backup.
 
 pub mod apply;
 pub mod assignment;
--- a/crates/ownership/src/restoration.rs
+++ b/crates/ownership/src/restoration.rs
@@ -1,4 +1,4 @@
-//! The assignment table after the platform store came back from an older copy.
+//! The assignment table after the platform store was restored from a backup.
 //!
 //! The store may have lost versions of the table that daemons have acted on, and the copy would
 //! give out their versions, session ids, terms and epochs again. So the newest table that the
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -47,7 +47,7 @@
     /// The last [`MAX_RECENT_CHANGES`] change ids, oldest first.
     pub recent_changes: Vec<ChangeId>,
     /// Era of the platform store in which the table was last written: the number of times that the
-    /// store had come back from an older copy.
+    /// store had been restored from a backup.
     pub era: u64,
 }
 
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -33,8 +33,8 @@
     run_random_faults([8; 32], 60, true);
 }
 
-/// Guards against two owners, or an epoch that does not rise, after the store came back from an
-/// older copy.
+/// Guards against two owners, or an epoch that does not rise, after the store was restored from a
+/// backup.
 #[test]
 fn invariants_hold_with_restored_store() {
     for seed in 0..30 {
--- a/crates/ownership/tests/sim/faults.rs
+++ b/crates/ownership/tests/sim/faults.rs
@@ -42,8 +42,8 @@
     OneWay(u32, u64),
     /// The store is unavailable; writes that are sent meanwhile may take effect late.
     Down(u64),
-    /// The store is away for the second duration and comes back from a copy that is as old as the
-    /// first one.
+    /// The store is away for the second duration and is restored from a backup that is as old as
+    /// the first one.
     RestoreStore(u64, u64),
     /// Calls to the store, its responses and its updates to daemons that watch it are delayed at
     /// random.
--- a/crates/ownership/tests/sim/restorable_store.rs
+++ b/crates/ownership/tests/sim/restorable_store.rs
@@ -1,9 +1,9 @@
-//! A platform store that may come back from an older copy: it has revisions and an era, and
-//! compares revisions when it swaps.
+//! A platform store that may be restored from a backup: it has revisions and an era, and compares
+//! revisions when it swaps.
 //!
 //! Used with [`Setup::restores_store`](super::Setup::restores_store). Revisions go back with the
-//! copy and are given out again. So a write of before the restore may take effect after it, even if
-//! the revision that it names belongs to another table by then.
+//! copy and are reused. So a write of before the restore may take effect after it, even if the
+//! revision that it names belongs to another table by then.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -105,9 +105,9 @@
     Request(usize, u64, u64, Request),
     Reply(usize, u64, u64, Request, Reply),
     Timeout(usize, u64, u64, Request),
-    /// The store comes back from a copy.
+    /// The store is restored from a backup.
     Restored(Copy),
-    /// A VM notices by a watch that the store came back.
+    /// A VM notices by a watch that the store was restored.
     Watch(usize),
     /// A pull reaches the VM.
     Pull(usize, u64, u64, Peer, usize),
@@ -258,8 +258,7 @@
         }
         self.platform.writes += 1;
         let stored = &self.platform.table;
-        // A write on a revision that was given out again replaces a table that its author has
-        // never seen.
+        // A write on a revision that was reused replaces a table that its author has never seen.
         let latest = stored.recent_changes.last();
         let follows = latest.is_none_or(|id| next.recent_changes.contains(id));
         let transition = match follows || next.era > stored.era {
@@ -294,7 +293,8 @@
         });
     }
 
-    /// Takes the store down for a time, after which it comes back from a copy of `age` before now.
+    /// Takes the store down for a time, after which it is restored from a backup of `age` before
+    /// now.
     pub(super) fn restore_store(&mut self, age: Duration, down: Duration) {
         self.platform.down_until = self.platform.down_until.max(self.now + down);
         let at = self.now.saturating_sub(age);
--- a/crates/ownership/tests/sim/seeds.rs
+++ b/crates/ownership/tests/sim/seeds.rs
@@ -90,8 +90,8 @@
     plan
 }
 
-/// Runs a plan of a seed against a store that may come back from an older copy. Targets of odd
-/// seeds report an incarnation.
+/// Runs a plan of a seed against a store that may be restored from a backup. Targets of odd seeds
+/// report an incarnation.
 pub fn run_restore_plan(
     seed: u64,
     disabled_rule: Option<Rule>,
--- a/crates/platform/src/binding.rs
+++ b/crates/platform/src/binding.rs
@@ -81,7 +81,7 @@
     pub value: Option<Value>,
     /// Revision after which the next watch continues.
     pub watch_revision: u64,
-    /// Era of the store that replied: the number of times that it had come back from an older copy.
+    /// Era of the store that replied: the number of times that it had been restored from a backup.
     /// Revisions of different eras are not comparable.
     pub era: u64,
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -82,7 +82,7 @@
 }
 
 /// A revision of the store and the era in which the store gave it out. Positions compare by era
-/// first, because a new era gives out revisions again.
+/// first, because a new era reuses revisions.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
     /// Era of the store.
@@ -148,9 +148,9 @@
         &self.counts
     }
 
-    /// Returns the newest era of the store that a response showed, and its changes. The store raises
-    /// its era each time it comes back from an older copy: writes that it acknowledged before may
-    /// be lost, and revisions are given out again.
+    /// Returns the newest era of the store that a response showed, and its changes. The store
+    /// raises its era each time it is restored from a backup: writes that it acknowledged before
+    /// may be lost, and revisions are reused.
     pub fn era(&self) -> watch::Receiver<u64> {
         self.era.subscribe()
     }
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -23,8 +23,8 @@
 
 /// Revision of a value in the platform store.
 pub const REVISION: &str = "x-revision";
-/// Era of the platform store: the number of times that it came back from an older copy. Absent in
-/// the responses of a store that never did.
+/// Era of the platform store: the number of times that it was restored from a backup. Absent in the
+/// responses of a store that never was.
 pub const STORE_ERA: &str = "x-store-era";
 /// Revision that a conditional write expects; 0 means that the key must not exist.
 pub const IF_REVISION: &str = "x-if-revision";
