Keep the refused port of a test from being bound by another test

Cause: the first test released a port and expected connections to it to be refused; the other test, in the same process, bound it meanwhile. The trace shows it: the first test got 502 MayHaveRun, the response of the other's target, and that target (CloseThenRefuse) received five requests where its own test sends fewer. Ruled out: the daemon, which gave the right verdicts for the target that it reached.

Change: the port stays bound to a socket that does not listen, so that connections are refused and nobody else gets it. All assertions are kept.

--- a/crates/daemon/tests/verdicts.rs
+++ b/crates/daemon/tests/verdicts.rs
@@ -224,12 +224,11 @@
 #[tokio::test]
 async fn unreachable_owner_gives_not_run() {
     let target = Target::start(Script::Echo).await;
-    let closed_address: SocketAddr = {
-        let listener = tokio::net::TcpListener::bind(common::LOOPBACK_ANY_PORT)
-            .await
-            .unwrap();
-        listener.local_addr().unwrap()
-    };
+    // Bound but not listening: connections are refused, and no other test gets the port.
+    let closed_socket = tokio::net::TcpSocket::new_v4().unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    closed_socket.bind(any_port).unwrap();
+    let closed_address = closed_socket.local_addr().unwrap();
     let (ingress, owner) = start_pair(target.address, |_| {}).await;
     let other_secret = Daemon::start(settings(|s| s.secret.peers = "other".into())).await;
     // Longer than any wait for an owner, so that the last attempt ends before the deadline.
