Send configurations as differences, and notice when peers lack the newest

A configuration of 1,700 routes has 400 KB.

Ruled out: the back-off of the watch (the daemons knew of the version), the parser (in force 0.3 s after the write where it arrived).

Change: differences in place of texts, compressed; one pull per peer at a time; 1 s for a transfer; the body of a store's response may take as long as bytes arrive. Four daemons per data centre watch the configuration instead of all up to 128 and two above; renewals carry the age of the last confirmation, and a daemon without one for 1.2 s watches by itself. Before, a fleet of over 128 depended on two watchers per data centre.

--- a/crates/daemon/src/control/config_restoration.rs
+++ b/crates/daemon/src/control/config_restoration.rs
@@ -39,12 +39,12 @@
         stored: &ConfigValue,
         era: u64,
     ) -> bool {
-        if era > 0 && self.config.current().revision == 0 {
+        if era > 0 && self.config.revision() == 0 {
             let search = self.pull_newer_config(stored.revision, era);
             self.config_search
                 .get_or_init(|| async {
                     let completed = tokio::time::timeout(SEARCH_TIMEOUT, search).await.is_ok();
-                    let found = self.config.current().revision;
+                    let found = self.config.revision();
                     log::info!(era, stored = stored.revision, found, completed;
                         "asked members for a newer configuration than the restored one");
                 })
@@ -58,10 +58,10 @@
 
     /// Writes the configuration back if the store lost it, and disseminates the result if it is newer.
     pub(super) async fn write_back_config(self: Arc<Self>) {
-        let before = self.config.current().revision;
+        let before = self.config.revision();
         tokio::time::sleep(MAX_WRITE_BACK_DELAY.mul_f64(rand::random())).await;
         self.config.write_back().await;
-        if self.config.current().revision > before {
+        if self.config.revision() > before {
             self.disseminate_config();
         }
     }
@@ -98,9 +98,13 @@
             table: u64::MAX,
             config: stored,
         };
+        let pull = Pull {
+            versions,
+            config_digest: self.config.digest(),
+        };
         let reply = self
             .peers
-            .control(member, PATH_PULL, &Pull { versions }, PEER_CALL_TIMEOUT)
+            .control(member, PATH_PULL, &pull, PEER_CALL_TIMEOUT)
             .await;
         match reply {
             Ok(update) => self.apply_update(&update),
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -18,8 +18,10 @@
 use masticdeal_config::diff;
 use masticdeal_config::fault::Fault;
 use masticdeal_platform::{Client, Position, SwapOutcome, Value};
-use masticdeal_wire::peer::ConfigValue;
+use masticdeal_wire::peer::{ConfigUpdate, ConfigValue};
+use masticdeal_wire::text_delta;
 
+use super::config_history::ConfigHistory;
 use crate::node::Node;
 use crate::protocol::DecodeResult;
 
@@ -77,7 +79,25 @@
 pub struct ConfigStore {
     node: Arc<Node>,
     platform: Client,
-    current: Mutex<ConfigValue>,
+    current: Mutex<Installed>,
+}
+
+/// The installed configuration and the differences that led to it.
+#[derive(Debug, Default)]
+struct Installed {
+    value: ConfigValue,
+    history: ConfigHistory,
+}
+
+/// Result of applying an update from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The configuration was installed.
+    Installed,
+    /// The installed configuration is as new, or the new one was ignored because it is malformed.
+    Ignored,
+    /// The update is newer, but based on a text that this daemon does not have.
+    OtherBase,
 }
 
 impl ConfigStore {
@@ -92,7 +112,56 @@
 
     /// Returns the installed configuration; revision 0 when there is none yet.
     pub fn current(&self) -> ConfigValue {
-        self.current.lock().unwrap().clone()
+        self.current.lock().unwrap().value.clone()
+    }
+
+    /// Returns the revision of the installed configuration, or 0.
+    pub fn revision(&self) -> u64 {
+        self.current.lock().unwrap().value.revision
+    }
+
+    /// Returns the digest of the text of the installed configuration.
+    pub fn digest(&self) -> u64 {
+        text_delta::digest(&self.current.lock().unwrap().value.text)
+    }
+
+    /// Returns the update from the configuration that was installed before the current one.
+    pub fn last_update(&self) -> ConfigUpdate {
+        let current = self.current.lock().unwrap();
+        ConfigUpdate {
+            head: head(&current.value),
+            deltas: current.history.last(),
+        }
+    }
+
+    /// Returns the update for a daemon with a configuration of `revision` whose text has the digest
+    /// `base`; `None` if that is as new.
+    pub fn update_since(&self, revision: u64, base: u64) -> Option<ConfigUpdate> {
+        let current = &mut *self.current.lock().unwrap();
+        (current.value.revision > revision).then(|| ConfigUpdate {
+            head: head(&current.value),
+            deltas: current.history.since(base, &current.value.text),
+        })
+    }
+
+    /// Installs the configuration of an update from a peer if it is newer than the current one.
+    pub fn apply(&self, update: &ConfigUpdate) -> Applied {
+        let applied = {
+            let current = self.current.lock().unwrap();
+            if update.head.revision <= current.value.revision {
+                return Applied::Ignored;
+            }
+            update.apply(&current.value.text)
+        };
+        match applied {
+            Ok(value) if self.install(&value) => Applied::Installed,
+            Ok(_) => Applied::Ignored,
+            Err(text_delta::Error::OtherBase) => Applied::OtherBase,
+            Err(e) => {
+                log::error!(revision = update.head.revision; "ignoring a configuration of a peer: {e}");
+                Applied::Ignored
+            }
+        }
     }
 
     /// Installs a configuration if it is newer than the current one. Returns whether it was
@@ -115,8 +184,8 @@
     }
 
     fn install_if(&self, value: &ConfigValue, replaces: impl FnOnce(&ConfigValue) -> bool) -> bool {
-        let mut current = self.current.lock().unwrap();
-        if !replaces(&current) {
+        let current = &mut *self.current.lock().unwrap();
+        if !replaces(&current.value) {
             return false;
         }
         let deployment = match (self.node.protocol.config.parse)(&value.text) {
@@ -130,7 +199,8 @@
                 return false;
             }
         };
-        *current = value.clone();
+        current.history.record(&current.value.text, &value.text);
+        current.value = value.clone();
         let published = (value.revision, Arc::new(deployment));
         self.node.deployment.send_replace(published);
         log::info!(
@@ -198,7 +268,7 @@
     /// Writes the installed configuration back if the store lost it. Does nothing if operators write
     /// the configuration by other means.
     pub async fn write_back(&self) {
-        if !self.node.protocol.config.writable || self.current().revision == 0 {
+        if !self.node.protocol.config.writable || self.revision() == 0 {
             return;
         }
         for _ in 0..MAX_ATTEMPTS {
@@ -323,6 +393,18 @@
     Unresolved(String),
 }
 
+/// Returns a configuration without its text.
+fn head(value: &ConfigValue) -> ConfigValue {
+    ConfigValue {
+        revision: value.revision,
+        author: value.author.clone(),
+        time_ms: value.time_ms,
+        change_id: value.change_id,
+        recent: value.recent.clone(),
+        text: String::new(),
+    }
+}
+
 fn next_value(current: &ConfigValue, proposal: &Proposal) -> ConfigValue {
     let mut recent = current.recent.clone();
     if current.revision > 0 {
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -15,10 +15,15 @@
 use masticdeal_wire::peer::{Pull, Update, Versions};
 
 use super::Control;
+use super::config_store::Applied;
 
 /// Longest wait for the reply of a peer to a pull or an update.
 pub(super) const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest transfer of an update to or from a peer. The first configuration of many routes has tens
+/// of kilobytes, and a link of 13 Mbit/s also carries responses.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Delay before a pull for versions that forwarded requests reported. The tree usually delivers the
 /// update within this time.
 const REPORTED_VERSIONS_DELAY: Duration = Duration::from_millis(20);
@@ -36,7 +41,7 @@
             let update = update.clone();
             tokio::spawn(async move {
                 let _: Option<Versions> = control
-                    .call(child, PATH_UPDATE, &*update, PEER_CALL_TIMEOUT)
+                    .call(child, PATH_UPDATE, &*update, TRANSFER_TIMEOUT)
                     .await;
             });
         }
@@ -44,8 +49,13 @@
 
     /// Applies an update from a peer.
     pub(super) fn apply_update(self: &Arc<Self>, update: &Update) {
-        if let Some(config) = &update.config {
-            self.config.install(config);
+        if let Some(config) = &update.config
+            && self.config.apply(config) == Applied::OtherBase
+            && let Some(origin) = update.origin
+        {
+            log::info!(revision = config.head.revision, installed = self.config.revision(), origin:%;
+                "pulling a configuration whose base is not installed");
+            self.spawn(Self::pull_from, origin);
         }
         for (version, reason) in &update.move_reasons {
             let mut reasons = self.move_reasons.lock().unwrap();
@@ -71,7 +81,7 @@
     fn mark_disseminated(&self, update: &Update) -> bool {
         let table = update.deltas.last().map_or(0, |delta| delta.to_version);
         let table = table.max(update.table.as_ref().map_or(0, |t| t.version));
-        let config = update.config.as_ref().map_or(0, |c| c.revision);
+        let config = update.config.as_ref().map_or(0, |c| c.head.revision);
         let mut disseminated = self.disseminated.lock().unwrap();
         let is_newer = table > disseminated.table || config > disseminated.config;
         disseminated.table = disseminated.table.max(table);
@@ -79,16 +89,16 @@
         is_newer
     }
 
-    /// Returns an update with everything newer than `versions`.
-    pub(super) fn updates_since(&self, versions: Versions) -> Update {
+    /// Returns an update with everything newer than the sender of `pull` has.
+    pub(super) fn updates_since(&self, pull: &Pull) -> Update {
+        let versions = pull.versions;
         let mut update = Update {
             origin: self.session(),
+            config: self
+                .config
+                .update_since(versions.config, pull.config_digest),
             ..Update::default()
         };
-        let current = self.config.current();
-        if current.revision > versions.config {
-            update.config = Some(current);
-        }
         let history = self.history.lock().unwrap();
         let table = self.node.table.borrow();
         if table.version > versions.table {
@@ -103,17 +113,28 @@
         update
     }
 
-    /// Pulls and applies an update from one session.
+    /// Pulls and applies an update from one session, unless such a pull is in progress. Each renewal
+    /// and each forwarded request may show the newer version again, and repeated transfers would
+    /// delay each other on a slow link.
     pub(super) async fn pull_from(self: Arc<Self>, from: SessionId) {
+        if !self.pulls.lock().unwrap().insert(from) {
+            return;
+        }
         self.pull_and_apply(from).await;
+        self.pulls.lock().unwrap().remove(&from);
+    }
+
+    fn pull_request(&self) -> Pull {
+        Pull {
+            versions: self.node.versions(),
+            config_digest: self.config.digest(),
+        }
     }
 
     /// Pulls and applies an update from one session. Returns who replied.
     pub(super) async fn pull_and_apply(self: &Arc<Self>, from: SessionId) -> CollectionReplies {
-        let pull = Pull {
-            versions: self.node.versions(),
-        };
-        let update: Option<Update> = self.call(from, PATH_PULL, &pull, PEER_CALL_TIMEOUT).await;
+        let pull = self.pull_request();
+        let update: Option<Update> = self.call(from, PATH_PULL, &pull, TRANSFER_TIMEOUT).await;
         let Some(update) = update else {
             return CollectionReplies::SilentAddress;
         };
@@ -139,9 +160,7 @@
 
     /// Pulls and applies an update from one seed. Returns whether it replied.
     pub(super) async fn pull_from_seed(self: &Arc<Self>, seed: SocketAddr) -> bool {
-        let pull = Pull {
-            versions: self.node.versions(),
-        };
+        let pull = self.pull_request();
         let reply: Result<Update, _> = self
             .peers
             .control(seed, PATH_PULL, &pull, PEER_CALL_TIMEOUT)
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -223,7 +223,7 @@
         }
     }
 
-    fn spawn<A, F>(self: &Arc<Self>, task: fn(Arc<Self>, A) -> F, argument: A)
+    pub(super) fn spawn<A, F>(self: &Arc<Self>, task: fn(Arc<Self>, A) -> F, argument: A)
     where
         F: Future<Output = ()> + Send + 'static,
     {
@@ -243,6 +243,7 @@
             lessor: renewal.lessor,
             sequence: renewal.sequence,
             versions: self.node.versions(),
+            config_age: self.config_age(),
         };
         let timeout = self.node.settings.lease.renew_interval;
         let reply: Option<RenewReply> = self
@@ -254,6 +255,7 @@
             self.handle_event(Event::RenewTimeout { lessor, sequence });
             return;
         };
+        self.confirm_config(reply.versions, reply.config_age);
         self.handle_event(Event::RenewReply {
             lessor,
             sequence,
--- a/crates/daemon/src/control/key_watch.rs
+++ b/crates/daemon/src/control/key_watch.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Returns whether the next call waits for a change, rather than reads the key.
+    pub fn is_positioned(&self) -> bool {
+        self.position.is_some()
+    }
+
+    /// Returns whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
     /// Skips the changes up to a revision that this daemon has received otherwise.
     pub fn skip_to(&mut self, known: Position) {
         if let Some(position) = &mut self.position
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -58,7 +58,7 @@
             }
             headers::PATH_PULL => {
                 let pull: Pull = decode(frame)?;
-                encode(&self.updates_since(pull.versions))
+                encode(&self.updates_since(&pull))
             }
             headers::PATH_RELEASE => encode(&self.on_release(decode(frame)?)),
             headers::PATH_LOAD => {
@@ -83,6 +83,7 @@
     fn on_renew(self: &Arc<Self>, message: Renew) -> Result<RenewReply> {
         let versions = message.versions;
         let lessee = message.session;
+        self.confirm_config(versions, message.config_age);
         let replies = self.handle_event(Event::RenewRequest(Renewal {
             lessee,
             lessor: message.lessor,
@@ -99,6 +100,7 @@
             sequence: message.sequence,
             granted: granted.ok_or(Error::NotJoined)?,
             versions: self.node.versions(),
+            config_age: self.config_age(),
         })
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,6 +5,8 @@
 //! - [`messages`]: handles control messages from other daemons.
 //! - [`table_store`], [`config_store`]: the assignment table and the configuration in the
 //!   platform's store.
+//! - [`config_freshness`]: whether this daemon can rely on peers for the newest configuration.
+//! - [`config_history`]: the differences that bring a peer's configuration up to date.
 //! - [`config_restoration`]: finds the newest configuration after the store was restored from a
 //!   backup.
 //! - [`dissemination`]: sends updates of table and configuration to peers and pulls missing ones.
@@ -25,6 +27,8 @@
 //! checker runs on every table before it is published.
 
 pub mod commands;
+pub mod config_freshness;
+pub mod config_history;
 pub mod config_restoration;
 pub mod config_store;
 pub mod dissemination;
@@ -43,6 +47,7 @@
 pub mod target;
 pub mod watcher;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::sync::{Arc, Mutex};
 
@@ -59,6 +64,7 @@
 use crate::owner::Owner;
 use crate::peers::Peers;
 
+use config_freshness::ConfigFreshness;
 use config_store::ConfigStore;
 use load_collection::LoadCollection;
 use move_reasons::MoveReasons;
@@ -85,6 +91,10 @@
     /// Delta of the swap in progress.
     swap_delta: Mutex<Option<Delta>>,
     move_reasons: Mutex<MoveReasons>,
+    /// When this daemon last knew that its configuration was the newest.
+    config_freshness: Mutex<ConfigFreshness>,
+    /// Sessions from which updates are being pulled.
+    pulls: Mutex<BTreeSet<SessionId>>,
     /// Newest versions that this daemon has forwarded along the dissemination tree.
     disseminated: Mutex<Versions>,
     load_collection: tokio::sync::Mutex<LoadCollection>,
@@ -129,6 +139,8 @@
             history: Mutex::default(),
             swap_delta: Mutex::default(),
             move_reasons: Mutex::default(),
+            config_freshness: Mutex::default(),
+            pulls: Mutex::default(),
             disseminated: Mutex::default(),
             load_collection: tokio::sync::Mutex::default(),
             is_planner: watch::Sender::new(false),
@@ -163,7 +175,7 @@
     pub fn disseminate_config(self: &Arc<Self>) {
         let update = Update {
             origin: self.session(),
-            config: Some(self.config.current()),
+            config: Some(self.config.last_update()),
             ..Update::default()
         };
         self.disseminate(update);
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -1,11 +1,12 @@
 //! Watches the table and the configuration in the platform's store, on a few daemons only.
 //!
 //! Each watch counts as a call, and the store's rate limits grow more slowly than the fleet. So
-//! only the [`WATCHERS_PER_DATA_CENTRE`] lowest sessions of each data centre watch the table. All
-//! other daemons receive updates from peers. In a fleet of up to [`MAX_FLEET_WATCHING_CONFIG`]
-//! daemons, all of them watch the configuration.
+//! only the [`TABLE_WATCHERS`] lowest sessions of each data centre watch the table, and the
+//! [`CONFIG_WATCHERS`] lowest ones the configuration. All other daemons receive updates from peers. A
+//! daemon watches the configuration by itself while it has not joined, and while its peers do not
+//! confirm that it has the newest one.
 
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use masticdeal_ownership::ids::SessionId;
@@ -14,14 +15,20 @@
 use masticdeal_ownership::table::Table;
 use masticdeal_platform::{CallKind, Client, Value};
 use masticdeal_wire::headers::KEY_TABLE;
+use masticdeal_wire::peer::{ConfigAge, Versions};
 use tokio::sync::watch;
 
 use super::Control;
+use super::config_freshness::ConfigFreshness;
 use super::key_watch::KeyWatch;
 use crate::telemetry::metrics::KindLabel;
 
 /// Number of daemons per data centre that watch the table.
-pub const WATCHERS_PER_DATA_CENTRE: usize = 2;
+pub const TABLE_WATCHERS: usize = 2;
+
+/// Number of daemons per data centre that watch the configuration. The store may refuse a third of
+/// all daemons at the same time.
+pub const CONFIG_WATCHERS: usize = 4;
 
 /// Wait after a watch returned a table, in which the dissemination tree usually delivers the same
 /// table. The table from a watch comes without deltas and reasons, so it is installed only if the
@@ -32,19 +39,15 @@
 /// versions in lease renewals deliver each of them, while each watch counts as a call.
 const TABLE_CHANGE_DELAY: Duration = Duration::from_secs(1);
 
+/// Pause of the watch after a change of the configuration. Each watch counts as a call, and changes
+/// may follow each other within 60 ms.
+const CONFIG_CHANGE_DELAY: Duration = Duration::from_millis(100);
+
 /// Interval at which the call counters are exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Delay between two attempts to load the configuration at startup.
-const LOAD_RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Largest fleet in which every daemon watches the configuration. A watch takes one call in half a
-/// minute and one for each change; the users' store for fleets of 71 to 76 daemons allows 6,000
-/// reads per second.
-pub const MAX_FLEET_WATCHING_CONFIG: usize = 128;
-
-/// Returns whether a session is one of the watchers in its data centre.
-pub fn is_watcher(table: &Table, me: SessionId) -> bool {
+/// Returns whether a session is one of the `count` lowest ones of its data centre.
+pub fn is_watcher(table: &Table, me: SessionId, count: usize) -> bool {
     let Some(own_session) = table.session(me) else {
         return false;
     };
@@ -52,7 +55,7 @@
         .sessions
         .iter()
         .filter(|s| s.data_centre == own_session.data_centre && s.id < me);
-    lower_sessions.count() < WATCHERS_PER_DATA_CENTRE
+    lower_sessions.count() < count
 }
 
 impl Control {
@@ -64,7 +67,7 @@
         loop {
             let me = *session.borrow_and_update();
             let newest = table.borrow_and_update().clone();
-            let is_watcher_now = me.is_some_and(|me| is_watcher(&newest, me));
+            let is_watcher_now = me.is_some_and(|me| is_watcher(&newest, me, TABLE_WATCHERS));
             is_watcher_tx.send_if_modified(|was_watcher| {
                 std::mem::replace(was_watcher, is_watcher_now) != is_watcher_now
             });
@@ -118,34 +121,28 @@
         }
     }
 
-    /// Watches the configuration and disseminates changes. In a fleet of up to
-    /// [`MAX_FLEET_WATCHING_CONFIG`] daemons each one watches it, so that a change does not depend
-    /// on peers. In a larger fleet only the watchers of the table do.
-    pub async fn watch_config(
-        self: Arc<Self>,
-        platform: Client,
-        mut is_watcher_rx: watch::Receiver<bool>,
-    ) {
+    /// Watches the configuration while this daemon has to, and disseminates changes, until the task
+    /// is dropped. A daemon without a configuration asks peers when the store does not answer.
+    pub async fn watch_config(self: Arc<Self>, platform: Client) {
         let mut watch = KeyWatch::new(self.node.protocol.config.key);
-        let mut table = self.node.table.subscribe();
         loop {
-            let all_watch = table.borrow_and_update().sessions.len() <= MAX_FLEET_WATCHING_CONFIG;
-            if !all_watch && !*is_watcher_rx.borrow_and_update() {
-                let ended = tokio::select! {
-                    changed = table.changed() => changed.is_err(),
-                    changed = is_watcher_rx.changed() => changed.is_err(),
-                };
-                if ended {
-                    return;
+            self.await_config_watch_role().await;
+            let now = self.node.clock.now();
+            let is_waiting = watch.is_positioned();
+            self.config_freshness().start_call(now, is_waiting);
+            let received = watch.next(&platform).await;
+            let now = self.node.clock.now();
+            self.config_freshness().end_call(now, watch.is_positioned());
+            let Some((value, era)) = received else {
+                if watch.is_failing() && self.config.revision() == 0 {
+                    self.bootstrap_from_peers().await;
                 }
                 continue;
-            }
-            let Some((value, era)) = watch.next(&platform).await else {
-                continue;
             };
             match self.config.decode(&value) {
                 Ok(stored) if self.install_stored_config(&stored, era).await => {
                     self.disseminate_config();
+                    tokio::time::sleep(CONFIG_CHANGE_DELAY).await;
                 }
                 Ok(stored) => {
                     self.config.install_rewritten(&stored);
@@ -155,6 +152,54 @@
         }
     }
 
+    /// Waits until this daemon has to watch the configuration: it has not joined, it is one of the
+    /// watchers of its data centre, or its peers do not confirm that it has the newest one.
+    async fn await_config_watch_role(&self) {
+        let mut table = self.node.table.subscribe();
+        let mut session = self.node.session.subscribe();
+        loop {
+            let me = *session.borrow_and_update();
+            let newest = table.borrow_and_update().clone();
+            if me.is_none_or(|me| is_watcher(&newest, me, CONFIG_WATCHERS)) {
+                return;
+            }
+            let expires_at = self.config_freshness().expires_at();
+            let left = expires_at.saturating_sub(self.node.clock.now());
+            if left.is_zero() {
+                log::info!(table = newest.version, config = self.config.revision();
+                    "peers do not confirm the configuration, watching it in the platform store");
+                return;
+            }
+            let _ = tokio::time::timeout(left, async {
+                tokio::select! {
+                    _ = table.changed() => {}
+                    _ = session.changed() => {}
+                }
+            })
+            .await;
+        }
+    }
+
+    fn config_freshness(&self) -> MutexGuard<'_, ConfigFreshness> {
+        self.config_freshness.lock().unwrap()
+    }
+
+    /// Returns how long ago this daemon knew that its configuration was the newest.
+    pub(super) fn config_age(&self) -> ConfigAge {
+        let age = self.config_freshness().age(self.node.clock.now());
+        ConfigAge(age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)))
+    }
+
+    /// Records what a peer knew about the newest configuration, if it has that of this daemon.
+    pub(super) fn confirm_config(&self, versions: Versions, age: ConfigAge) {
+        if versions.config == self.config.revision()
+            && let ConfigAge(Some(age_ms)) = age
+        {
+            let age = Duration::from_millis(age_ms.into());
+            self.config_freshness().confirm(self.node.clock.now(), age);
+        }
+    }
+
     /// Passes changes of the store's era to the lease core, until the task is dropped.
     pub async fn follow_store_era(self: Arc<Self>, platform: Client) {
         let mut era_rx = platform.era();
@@ -182,21 +227,4 @@
             }
         }
     }
-
-    /// Loads the configuration at startup, retrying until the platform's store or a peer has one.
-    pub async fn load_config(self: Arc<Self>) {
-        while self.config.current().revision == 0 {
-            match self.config.read().await {
-                Ok(stored) => {
-                    self.install_stored_config(&stored.value, stored.position.era)
-                        .await;
-                }
-                Err(e) => {
-                    log::warn!("{e}");
-                    self.bootstrap_from_peers().await;
-                }
-            }
-            tokio::time::sleep(LOAD_RETRY_DELAY).await;
-        }
-    }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use crate::binding::{Binding, HttpRequest, HttpResponse, Op, OpReply, ReadResult};
 use crate::counts::{CallCounts, CallKind};
@@ -23,6 +25,10 @@
 /// Largest response body in bytes: a value of maximum size in base64, and the other JSON fields.
 const MAX_RESPONSE_BYTES: usize = MAX_VALUE_BYTES * 4 / 3 + (64 << 10);
 
+/// Longest time in which a response body may arrive. The largest one takes 0.9 s on an idle link of
+/// 13 Mbit/s.
+const MAX_BODY_TIME: Duration = Duration::from_secs(4);
+
 /// TCP keep-alive: idle time before the first probe, probe interval, and number of unanswered
 /// probes after which the connection is closed. A watch waits for up to 30 s; without the probes, a
 /// dead connection would delay the notice of a change by as much.
@@ -34,7 +40,8 @@
 pub struct Settings {
     /// Address of the store.
     pub address: SocketAddr,
-    /// Time limit of a call, and of a connection attempt. For a watch, the requested wait is added.
+    /// Longest wait for the head of a response, for further bytes of its body, and for a connection.
+    /// For a watch, the requested wait is added.
     pub timeout: Duration,
     /// Wire format.
     pub binding: Binding,
@@ -276,13 +283,12 @@
 
     /// Makes a call and returns the reply with the era of the store.
     async fn call(&self, op: &Op<'_>) -> Result<(OpReply, u64)> {
-        let timeout = match op {
+        let head_timeout = match op {
             Op::Watch { wait, .. } => *wait + self.settings.timeout,
             _ => self.settings.timeout,
         };
         let request = (self.settings.binding.encode)(op);
-        let response = tokio::time::timeout(timeout, self.exchange(request)).await;
-        let response = response.map_err(|_| Error::Timeout)??;
+        let response = self.exchange(request, head_timeout).await?;
         let era = (self.settings.binding.era)(&response);
         self.era.send_if_modified(|newest| {
             let is_newer = *newest < era;
@@ -293,7 +299,10 @@
         Ok((reply, era))
     }
 
-    async fn exchange(&self, request: HttpRequest) -> Result<HttpResponse> {
+    /// Sends a request and reads the response. The head must arrive within `head_timeout`. The body
+    /// may take longer, as long as it makes progress: a large value on a slow link needs more time
+    /// than a store that does not answer may take.
+    async fn exchange(&self, request: HttpRequest, head_timeout: Duration) -> Result<HttpResponse> {
         let uri = format!("http://{}{}", self.settings.address, request.path);
         let mut req = Request::builder().method(request.method).uri(uri);
         for (name, value) in request.headers {
@@ -302,18 +311,34 @@
         let req = req
             .body(Full::new(request.body))
             .map_err(|_| Error::Malformed("request"))?;
-        let response = self.http.request(req).await.map_err(connection_error)?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|e| Error::Unreachable(e.to_string()))?;
+        let response = timeout(head_timeout, self.http.request(req)).await;
+        let response = response.map_err(|_| Error::Timeout)?;
+        let (parts, body) = response.map_err(connection_error)?.into_parts();
+        let body = timeout(MAX_BODY_TIME, read_body(body, self.settings.timeout)).await;
         Ok(HttpResponse {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body: body.map_err(|_| Error::Timeout)??,
         })
     }
 }
 
+/// Reads a response body of which some bytes must arrive within each `idle_timeout`.
+async fn read_body(body: Incoming, idle_timeout: Duration) -> Result<Bytes> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(idle_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Error::Timeout)? else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|e| Error::Unreachable(e.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+}
+
 fn connection_error(e: legacy::Error) -> Error {
     Error::Unreachable(e.to_string())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`headers`]: names of HTTP headers, paths and keys of the platform store.
 //! - [`peer`]: messages between daemons.
 //! - [`target`]: messages between a daemon and the target on its VM.
+//! - [`text_delta`]: compressed differences between texts.
 //!
 //! The codec bounds the allocations that a forged length can cause.
 
@@ -11,3 +12,4 @@
 pub mod headers;
 pub mod peer;
 pub mod target;
+pub mod text_delta;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,6 +6,8 @@
 use masticdeal_policy::Verdict;
 use serde::{Deserialize, Serialize};
 
+use crate::text_delta::{self, TextDelta};
+
 /// Versions of the table and of the configuration that a daemon has. Messages carry them, so that a
 /// daemon with an older version pulls from the other.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +18,11 @@
     pub config: u64,
 }
 
+/// How long ago the sender of a message knew that its configuration was the newest, in milliseconds;
+/// `None` if it never did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigAge(pub Option<u32>);
+
 /// Requests the renewal of the sender's lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renew {
@@ -29,6 +36,8 @@
     pub sequence: u64,
     /// Versions of the lessee.
     pub versions: Versions,
+    /// How long ago the lessee knew that its configuration was the newest.
+    pub config_age: ConfigAge,
 }
 
 /// Reply to [`Renew`].
@@ -40,6 +49,8 @@
     pub granted: bool,
     /// Versions of the lessor.
     pub versions: Versions,
+    /// How long ago the lessor knew that its configuration was the newest.
+    pub config_age: ConfigAge,
 }
 
 /// Asks the other lessor of a lessee whether it considers the lease expired as well.
@@ -70,6 +81,8 @@
 pub struct Pull {
     /// Versions of the sender.
     pub versions: Versions,
+    /// Digest of the text of the sender's configuration, on which a difference can be based.
+    pub config_digest: u64,
 }
 
 /// Newer versions of the table and the configuration. Sent as the reply to [`Pull`] and along the
@@ -86,7 +99,41 @@
     /// Reasons for moves, by the table version that contains the move.
     pub move_reasons: Vec<(u64, MoveReason)>,
     /// A newer configuration.
-    pub config: Option<ConfigValue>,
+    pub config: Option<ConfigUpdate>,
+}
+
+/// A configuration, with its text as differences to an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigUpdate {
+    /// The configuration without its text.
+    pub head: ConfigValue,
+    /// Consecutive differences. The first one is based on the text that the receiver is known or
+    /// supposed to have, and the last one produces the text of the configuration.
+    pub deltas: Vec<TextDelta>,
+}
+
+impl ConfigUpdate {
+    /// Returns the configuration.
+    ///
+    /// # Errors
+    ///
+    /// The [`text_delta::Error`] of the first difference that does not apply to `base`, the text
+    /// that the receiver has. If that is [`text_delta::Error::OtherBase`], the receiver needs the
+    /// differences to its own text.
+    pub fn apply(&self, base: &str) -> text_delta::Result<ConfigValue> {
+        let is_whole = |delta: &TextDelta| delta.base_digest() == text_delta::digest("");
+        let mut text = match self.deltas.first() {
+            Some(first) if is_whole(first) => String::new(),
+            _ => base.to_owned(),
+        };
+        for delta in &self.deltas {
+            text = delta.apply(&text)?;
+        }
+        Ok(ConfigValue {
+            text,
+            ..self.head.clone()
+        })
+    }
 }
 
 /// Reason for a requested move.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -11,9 +11,10 @@
 use masticdeal_policy::Verdict;
 use masticdeal_wire::codec::{Error, MAX_FRAME_BYTES, PREFIX_BYTES, decode, decode_body, encode};
 use masticdeal_wire::peer::{
-    ConfigValue, ExpiryReply, ExpiryRequest, Forward, ForwardReply, LoadHint, MoveReason, Pull,
-    Reason, Release, ReleaseReply, Renew, RenewReply, Update, Versions,
+    ConfigUpdate, ConfigValue, ExpiryReply, ExpiryRequest, Forward, ForwardReply, LoadHint,
+    MoveReason, Pull, Reason, Release, ReleaseReply, Renew, RenewReply, Update, Versions,
 };
+use masticdeal_wire::text_delta::TextDelta;
 use proptest::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -91,10 +92,14 @@
         move_reasons: vec![(7, MoveReason::Operator("duc".into()))],
         deltas: vec![delta; 3],
         table: Some(table(2, 6, 2)),
-        config: Some(ConfigValue {
-            text: "[rules]\n".repeat(50),
-            ..ConfigValue::default()
-        }),
+        config: Some(config_update(&"[rules]\n".repeat(50))),
+    }
+}
+
+fn config_update(text: &str) -> ConfigUpdate {
+    ConfigUpdate {
+        head: ConfigValue::default(),
+        deltas: vec![TextDelta::new("", text)],
     }
 }
 
@@ -143,7 +148,10 @@
 #[gtest]
 fn frames_are_decoded_incrementally() {
     check_incremental_decoding(&forward());
-    check_incremental_decoding(&Pull { versions: VERSIONS });
+    check_incremental_decoding(&Pull {
+        versions: VERSIONS,
+        config_digest: u64::MAX,
+    });
     check_incremental_decoding(&ReleaseReply::NotOwner);
     check_incremental_decoding(&ForwardReply::Failed {
         verdict: Verdict::MayHaveRun,
@@ -162,11 +170,7 @@
 /// the decoder also limits the size of what it decodes.
 #[gtest]
 fn largest_table_and_configuration_round_trip() {
-    let text = "x".repeat(MAX_TEXT_BYTES);
-    let config = Some(ConfigValue {
-        text,
-        ..ConfigValue::default()
-    });
+    let config = Some(config_update(&"x".repeat(MAX_TEXT_BYTES)));
     let largest = Update {
         table: Some(table(16, MAX_SHARDS, 480)),
         config,
