Write joins and first targets of a starting fleet in groups

Cause: the start of 196 daemons made 7,200 calls to the store (trial with a log line per call): each process tried its own join first, each target's first entry was written by its daemon, at once, against all others, with a read before and two after each conflict; then nearly every session changed both lessors for a nearer place on the ring, with a delay drawn anew at each of many installed tables.

Change: processes ask the newest member first and wait a random part of 300 ms where there is none; members write requested targets, only where the table has no entry yet; deltas carry the store's revision, so that a swap needs no read; a change of lessors must gain 16 mean distances on the ring; the delay is drawn once per swap.

--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -61,6 +61,9 @@
             let mut reasons = self.move_reasons.lock().unwrap();
             reasons.insert(*version, reason.clone());
         }
+        if let Some(stored) = update.stored {
+            self.tables.record_peer(stored);
+        }
         if let Some(table) = &update.table {
             self.handle_event(Event::TableReceived(Arc::new(table.clone())));
         } else if !update.deltas.is_empty() {
@@ -102,6 +105,7 @@
         let history = self.history.lock().unwrap();
         let table = self.node.table.borrow();
         if table.version > versions.table {
+            update.stored = self.tables.stored(table.version);
             match history.deltas_since(versions.table, table.version) {
                 Some(deltas) => {
                     update.move_reasons = self.move_reasons.lock().unwrap().for_deltas(&deltas);
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -10,14 +10,19 @@
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::checker;
 use masticdeal_ownership::ids::SessionId;
-use masticdeal_ownership::lease::{Effect, Event, ExpiryQuery, JoinRequest, Outcome, Renewal};
+use masticdeal_ownership::lease::{
+    Effect, Event, ExpiryQuery, JoinRequest, Outcome, Renewal, TargetRequest,
+};
 use masticdeal_ownership::table::Table;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{ExpiryReply, ExpiryRequest, Renew, RenewReply, Update, Versions};
 
+use serde::Serialize;
+
 use super::Control;
 use super::table_store::SwapResult;
 use crate::operators::{from_delta, installed};
+use crate::peers;
 
 /// Longest time between two ticks when the core has no earlier deadline.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -204,6 +209,7 @@
             } => self.spawn(Self::restore_table, (change_id, stored_version, next)),
             Effect::ReadTable { read } => self.spawn(Self::read_table, read),
             Effect::SendJoin { to, request } => self.spawn(Self::request_join, (to, request)),
+            Effect::SendTarget { to, request } => self.spawn(Self::request_target, (to, request)),
             Effect::Pull { from } => self.spawn(Self::pull_from, from),
             Effect::DrainShard(held) => self.spawn(Self::drain_shard, held),
             Effect::DrainKey {
@@ -311,10 +317,7 @@
     /// Sends another daemon the request to write this daemon's join, then pulls the table that
     /// contains the join.
     async fn request_join(self: Arc<Self>, (to, request): (SessionId, JoinRequest)) {
-        let timeout = self.node.settings.lease.renew_interval;
-        let accepted: Option<bool> = self.call(to, headers::PATH_JOIN, &request, timeout).await;
-        if accepted != Some(true) {
-            log::info!(session:% = to; "member did not accept the join request");
+        if !self.send_request(to, headers::PATH_JOIN, &request).await {
             return;
         }
         for delay in JOIN_PULL_DELAYS {
@@ -326,6 +329,33 @@
         }
     }
 
+    /// Sends another daemon the request to write the first entry of this daemon's target.
+    async fn request_target(self: Arc<Self>, (to, request): (SessionId, TargetRequest)) {
+        self.send_request(to, headers::PATH_TARGET, &request).await;
+    }
+
+    /// Sends a request to a member and returns whether it was accepted.
+    async fn send_request<M: Serialize>(
+        self: &Arc<Self>,
+        to: SessionId,
+        path: &'static str,
+        request: &M,
+    ) -> bool {
+        let timeout = self.node.settings.lease.renew_interval;
+        let reply = match self.address_of(to) {
+            Some(address) => self.peers.control(address, path, request, timeout).await,
+            None => Err(peers::Error::Connect("session has ended".into())),
+        };
+        let refused = match reply {
+            Ok(true) => return true,
+            Ok(false) | Err(peers::Error::Refused(_)) => true,
+            Err(_) => false,
+        };
+        log::info!(session:% = to, path, refused; "member did not accept the request");
+        self.handle_event(Event::RequestFailed { to, refused });
+        false
+    }
+
     async fn swap(self: Arc<Self>, (delta, next): (Delta, Arc<Table>)) {
         let change_id = delta.change_id;
         *self.swap_delta.lock().unwrap() = Some(delta.clone());
@@ -344,9 +374,11 @@
         };
         self.handle_event(Event::SwapOutcome { change_id, outcome });
         if outcome == Outcome::Done {
+            let stored = self.tables.stored(delta.to_version);
             let deltas = vec![delta];
             self.disseminate(Update {
                 origin: self.session(),
+                stored,
                 move_reasons: self.move_reasons.lock().unwrap().for_deltas(&deltas),
                 deltas,
                 ..Update::default()
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -76,6 +76,10 @@
                 self.handle_event(Event::JoinRequested(request));
                 encode(&self.session().is_some())
             }
+            headers::PATH_TARGET => {
+                self.handle_event(Event::TargetRequested(decode(frame)?));
+                encode(&self.session().is_some())
+            }
             other => Err(Error::UnknownPath(other)),
         }
     }
--- a/crates/daemon/src/control/table_store.rs
+++ b/crates/daemon/src/control/table_store.rs
@@ -13,7 +13,7 @@
 use masticdeal_ownership::change::Delta;
 use masticdeal_ownership::table::{self, Table};
 use masticdeal_platform::{Position, Value};
-use masticdeal_wire::peer::StoreReply;
+use masticdeal_wire::peer::{StoreReply, StoredTable};
 
 use super::relay::Relay;
 use crate::clock::Clock;
@@ -107,6 +107,21 @@
         Ok((table, read.era))
     }
 
+    /// Returns where the store has a version of the table, if that is known.
+    pub fn stored(&self, version: u64) -> Option<StoredTable> {
+        let stored = (*self.stored.lock().unwrap())?;
+        (stored.version == version).then_some(StoredTable {
+            version,
+            era: stored.position.era,
+            revision: stored.position.revision,
+        })
+    }
+
+    /// Records where the store has a version of the table, as a peer that wrote or read it knew.
+    pub fn record_peer(&self, stored: StoredTable) {
+        self.record_stored(stored.version, Position::new(stored.era, stored.revision));
+    }
+
     /// Returns the relay, which also serves calls on behalf of other members.
     pub fn relay(&self) -> &Relay {
         &self.relay
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -23,6 +23,6 @@
 pub use api::{
     CollectionReplies, CoreSettings, DeclaredService, Effect, Event, ExpiryQuery, Grants,
     HeldShard, Identity, JoinRequest, MoveWriter, Outcome, Refusal, Renewal, Rule, TargetReport,
-    override_shard,
+    TargetRequest, override_shard,
 };
 pub use core::Core;
--- a/crates/ownership/src/lease/api.rs
+++ b/crates/ownership/src/lease/api.rs
@@ -151,6 +151,15 @@
     pub resumes: bool,
 }
 
+/// A request that a member write the first entry of the target beside the sender to the table.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetRequest {
+    /// Session of the sender.
+    pub session: SessionId,
+    /// The target.
+    pub target: TargetReport,
+}
+
 /// State of the target on this VM, from its announcement.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetReport {
@@ -357,6 +366,15 @@
     },
     /// A process requests that this member write the join of that process.
     JoinRequested(JoinRequest),
+    /// A session requests that this member write the first entry of its target.
+    TargetRequested(TargetRequest),
+    /// A request of this process to a member was not accepted.
+    RequestFailed {
+        /// The member.
+        to: SessionId,
+        /// Whether a process that is no member replied. Otherwise there was no reply.
+        refused: bool,
+    },
     /// The daemon shuts down: its shards move to other owners, then its session ends.
     LeaveRequested,
     /// An operator confirms that a VM is permanently lost (R9).
@@ -423,13 +441,21 @@
         /// Number of the read.
         read: u64,
     },
-    /// Send a join request to a member, and pull the table from it shortly afterwards.
+    /// Send a join request to a member, and pull the table from it shortly afterwards. Report
+    /// [`Event::RequestFailed`] if it is not accepted.
     SendJoin {
         /// The member.
         to: SessionId,
         /// The request.
         request: JoinRequest,
     },
+    /// Send a target request to a member. Report [`Event::RequestFailed`] if it is not accepted.
+    SendTarget {
+        /// The member.
+        to: SessionId,
+        /// The request.
+        request: TargetRequest,
+    },
     /// Pull updates from a peer that reported a newer table.
     Pull {
         /// The peer.
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -6,8 +6,9 @@
 
 use super::api::{
     CoreSettings, DeclaredService, Effect, Event, HeldShard, Identity, JoinRequest, MoveWriter,
-    Outcome, Renewal, Rule, TargetReport,
+    Outcome, Renewal, Rule, TargetReport, TargetRequest,
 };
+use super::join::Requests;
 use super::lessee::Lessee;
 use super::lessor::Lessees;
 use super::releases::{KeyRelease, ReleasePurpose, Releases};
@@ -51,10 +52,12 @@
     pub(super) leaving: bool,
     /// Sessions that an operator confirmed as lost.
     pub(super) confirmed_lost: Vec<SessionId>,
-    /// Time at which this process sent its pending join request.
-    pub(super) join_requested_at: Option<Duration>,
+    /// Requests of this process that a member write its join or its target.
+    pub(super) requests: Requests,
     /// Join requests that this member received, with their arrival times.
     pub(super) join_requests: Vec<(Duration, JoinRequest)>,
+    /// Target requests that this member received, with their arrival times.
+    pub(super) target_requests: Vec<(Duration, TargetRequest)>,
     /// Shards that this session got after an unplanned loss, with the end of the settle delay.
     pub(super) settling_until: BTreeMap<(ServiceId, ShardId), Duration>,
     /// Shards that the newest table assigns to this session.
@@ -69,8 +72,9 @@
     pub(super) without_lessors: BTreeMap<SessionId, (u32, Duration)>,
     /// Time at which the newest table or newer service declarations were installed.
     pub(super) installed_at: Duration,
-    /// Random number between 0 and 1, drawn for each installed table. It spreads the swaps for
-    /// which several sessions have the same reason.
+    /// Random number between 0 and 1, drawn for each swap. It spreads the swaps for which several
+    /// sessions have the same reason. If it were drawn for each installed table, one of many tables
+    /// that arrive while the swaps are due would bring each session's swap forward.
     pub(super) jitter_fraction: f64,
     /// Whether an unassigned shard could be assigned to a ready target.
     pub(super) has_unassigned: bool,
@@ -92,7 +96,8 @@
 impl Core {
     /// Creates the core of a new process. Deliver [`Event::Tick`] to start it.
     pub fn new(settings: CoreSettings, identity: Identity) -> Self {
-        let writer = Writer::new(identity.seed);
+        let mut writer = Writer::new(identity.seed);
+        let jitter_fraction = writer.random_fraction();
         Self {
             settings,
             writer,
@@ -109,15 +114,16 @@
             declared: Vec::new(),
             leaving: false,
             confirmed_lost: Vec::new(),
-            join_requested_at: None,
+            requests: Requests::default(),
             join_requests: Vec::new(),
+            target_requests: Vec::new(),
             settling_until: BTreeMap::new(),
             owned: Vec::new(),
             suspects: BTreeMap::new(),
             reachability: DataCentreReachability::default(),
             without_lessors: BTreeMap::new(),
             installed_at: Duration::ZERO,
-            jitter_fraction: 0.0,
+            jitter_fraction,
             has_unassigned: false,
             better_lessors_exist: false,
             lessor_change_not_before: Duration::ZERO,
@@ -238,6 +244,8 @@
                 self.installed_at = self.installed_at.max(now);
             }
             Event::JoinRequested(request) => self.handle_join_request(now, request),
+            Event::TargetRequested(request) => self.handle_target_request(now, request),
+            Event::RequestFailed { to, refused } => self.handle_request_failure(now, to, refused),
             Event::LeaveRequested => self.leave(),
             Event::ConfirmLost { vm } => self.confirm_lost(now, &vm),
             other => self.dispatch_move(now, other),
--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -95,7 +95,7 @@
         self.record_store_era(now, table.era);
         self.finish_restoration();
         self.installed_at = now;
-        self.jitter_fraction = self.writer.jitter(Duration::from_secs(1)).as_secs_f64();
+        self.writer.record_installed(now, table.version);
         let resolution = self.writer.resolve(&table);
         let pending = resolution.and_then(|_| self.writer.take_pending());
         self.install_session(now);
@@ -111,7 +111,7 @@
         self.lessees
             .install(now, self.session, &table, &self.settings);
         self.releases.retain_current(self.session, &table);
-        self.drop_stale_join_requests(now);
+        self.drop_stale_requests(now);
         self.install_shards(now, &old, delta);
         if table.era > old.era {
             // Targets that the restored table does not know may hold grants for a lease.
@@ -140,7 +140,7 @@
             self.identity.incarnation = self.writer.random_nonzero();
         }
         self.session = id;
-        let requested_at = self.join_requested_at.take();
+        let requested_at = self.requests.end_join();
         if let Some(id) = id {
             if let Some(requested_at) = requested_at {
                 self.lessee.extend(requested_at, &self.settings);
--- a/crates/ownership/src/lease/join.rs
+++ b/crates/ownership/src/lease/join.rs
@@ -1,16 +1,23 @@
-//! Batched joins.
+//! Batched joins and first entries of targets.
 //!
-//! After a restart of the whole fleet all processes join at once. If each wrote its own swap, `n`
-//! processes would need about `n * n / 2` attempts. Instead, a process whose swap had a conflict
-//! sends a join request to the newest member, whose entry cannot date from before the restart. The
-//! member writes all pending joins in one swap.
+//! After a restart of the whole fleet all processes join at once, and their targets announce
+//! themselves at about the same time. If each wrote its own swaps, `n` processes would need about
+//! `n * n / 2` attempts. Instead, a process sends a request to the newest member, whose entry cannot
+//! date from before the restart. The member writes all pending requests in one swap.
+//!
+//! Right after such a restart there is no member yet. Each process then waits for a random time
+//! before it reads the table again, so that usually one of them joins by itself and the others
+//! find it.
 //!
 //! The joining process counts its first lease (R12) from when it sent the request. This is earlier
 //! than the swap from which its lessors count.
+//!
+//! A member writes a requested target only if the table has no entry for it yet. A request that is
+//! written late therefore never replaces a newer state of the target.
 
 use std::time::Duration;
 
-use super::api::{Effect, JoinRequest};
+use super::api::{Effect, JoinRequest, TargetReport, TargetRequest};
 use super::core::Core;
 use super::proposal::{TableProposal, shards_owned_by};
 use crate::change::{Change, EndCause};
@@ -19,17 +26,51 @@
 use crate::lessor_selection::{self, Location};
 use crate::table::{Session, Table, TargetInfo};
 
-/// Time after which a process whose join request is still pending writes its join itself.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a process whose request is still pending writes the change itself.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Delay that lets several requests share one swap.
+const BATCH_DELAY: Duration = Duration::from_millis(10);
 
-/// Delay that lets several joins share one swap.
-const JOIN_BATCH_DELAY: Duration = Duration::from_millis(10);
+/// Time for which a member keeps a request that is not in the table.
+const REQUEST_TTL: Duration = Duration::from_secs(1);
 
-/// Time for which a member keeps a join request whose session is not in the table.
-const JOIN_REQUEST_TTL: Duration = Duration::from_secs(1);
+/// Maximum number of requests of each kind that a member keeps.
+const MAX_REQUESTS: usize = 512;
+
+/// Time over which processes that find no member spread their joins. A swap takes about 20 ms.
+const FIRST_JOIN_SPREAD: Duration = Duration::from_millis(300);
+
+/// Requests of this process to members.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    /// The member that was asked to write the join of this process, and when.
+    join: Option<(SessionId, Duration)>,
+    /// The member that was asked to write the target of this session, and when.
+    target: Option<(SessionId, Duration)>,
+    /// The member that last did not accept a request.
+    failed: Option<SessionId>,
+    /// Whether this process has waited for others to join first.
+    has_waited: bool,
+}
+
+impl Requests {
+    /// Ends the pending join request. Returns when it was sent.
+    pub fn end_join(&mut self) -> Option<Duration> {
+        self.target = None;
+        self.join.take().map(|(_, at)| at)
+    }
+
+    /// Returns the time until which this process waits for its pending join request.
+    pub fn join_deadline(&self) -> Option<Duration> {
+        self.join.map(|(_, at)| at + REQUEST_TIMEOUT)
+    }
 
-/// Maximum number of join requests that a member keeps.
-const MAX_JOIN_REQUESTS: usize = 512;
+    /// Returns the time until which this process waits for its pending target request.
+    pub fn target_deadline(&self) -> Option<Duration> {
+        self.target.map(|(_, at)| at + REQUEST_TIMEOUT)
+    }
+}
 
 impl Core {
     /// Returns the join request that this process would send now.
@@ -47,35 +88,72 @@
         }
     }
 
-    /// Requests the join from the newest member and returns whether a request is pending. If not,
-    /// this process must write its own join: it had no conflict since its last successful swap, the
-    /// table has no session or the newest one is the predecessor of this process, or the request
-    /// timed out.
+    /// Returns the member to send requests to: the newest one, unless it did not accept the last
+    /// request.
+    fn member_to_ask(&self) -> Option<SessionId> {
+        let newest = self.table.sessions.last();
+        let newest = newest.filter(|s| s.address != self.identity.address);
+        newest
+            .map(|s| s.id)
+            .filter(|id| Some(*id) != self.requests.failed)
+    }
+
+    /// Requests the join from a member and returns whether to wait for that, or for another process
+    /// to join first. Otherwise this process must write its own join: there is no member to ask, or
+    /// the request timed out.
     pub(super) fn request_join(&mut self, now: Duration) -> bool {
-        let timed_out = self
-            .join_requested_at
-            .is_some_and(|at| now >= at + JOIN_TIMEOUT);
-        if timed_out {
-            self.join_requested_at = None;
+        if let Some(deadline) = self.requests.join_deadline() {
+            if now < deadline {
+                return true;
+            }
+            self.requests.join = None;
             return false;
         }
-        if self.join_requested_at.is_some() {
+        if let Some(to) = self.member_to_ask() {
+            let request = self.join_request();
+            self.requests.join = Some((to, now));
+            self.effects.push(Effect::SendJoin { to, request });
             return true;
         }
-        let newest = self.table.sessions.last();
-        let newest = newest.filter(|s| s.address != self.identity.address);
-        let Some(to) = newest.map(|s| s.id).filter(|_| self.writer.had_conflict()) else {
-            return false;
-        };
-        let request = self.join_request();
-        self.join_requested_at = Some(now);
-        self.effects.push(Effect::SendJoin { to, request });
-        true
+        let must_wait = !std::mem::replace(&mut self.requests.has_waited, true);
+        if must_wait {
+            self.writer.postpone(now, FIRST_JOIN_SPREAD);
+        }
+        must_wait
     }
 
-    /// Returns the time until which this process waits for its pending join request.
-    pub(super) fn join_request_deadline(&self) -> Option<Duration> {
-        self.join_requested_at.map(|at| at + JOIN_TIMEOUT)
+    /// Requests the first entry of this session's target from a member, if the table has none.
+    pub(super) fn request_target(&mut self, now: Duration) {
+        let own = self.session.and_then(|id| self.table.session(id));
+        let is_due = own.is_some_and(|own| own.target.is_none() && self.target_update_due(own));
+        if !is_due || self.leaving || self.requests.target.is_some() {
+            return;
+        }
+        if let (Some(session), Some(target), Some(to)) =
+            (self.session, self.target.clone(), self.member_to_ask())
+        {
+            self.requests.target = Some((to, now));
+            let request = TargetRequest { session, target };
+            self.effects.push(Effect::SendTarget { to, request });
+        }
+    }
+
+    /// Handles a request of this process that a member did not accept. A process that refused has
+    /// not joined, so the whole fleet has probably restarted.
+    pub(super) fn handle_request_failure(&mut self, now: Duration, to: SessionId, refused: bool) {
+        self.requests.failed = Some(to);
+        let is_asked = |(asked, _): &(SessionId, Duration)| *asked == to;
+        if self.requests.target.as_ref().is_some_and(is_asked) {
+            // Due at once; another request is not sent.
+            self.requests.target = Some((to, Duration::ZERO));
+        }
+        if self.requests.join.take_if(|join| is_asked(join)).is_some() {
+            if !refused {
+                self.requests.has_waited = true;
+            } else if !std::mem::replace(&mut self.requests.has_waited, true) {
+                self.writer.postpone(now, FIRST_JOIN_SPREAD);
+            }
+        }
     }
 
     pub(super) fn handle_join_request(&mut self, now: Duration, request: JoinRequest) {
@@ -84,16 +162,26 @@
         let is_same_session =
             |(_, r): &(Duration, JoinRequest)| r.incarnation == request.incarnation;
         if is_member
-            && self.join_requests.len() < MAX_JOIN_REQUESTS
+            && self.join_requests.len() < MAX_REQUESTS
             && !self.join_requests.iter().any(is_same_session)
         {
             self.join_requests.push((now, request));
         }
     }
 
-    /// Drops join requests whose sessions are in the table, and requests older than
-    /// [`JOIN_REQUEST_TTL`], whose processes write their own joins after [`JOIN_TIMEOUT`].
-    pub(super) fn drop_stale_join_requests(&mut self, now: Duration) {
+    pub(super) fn handle_target_request(&mut self, now: Duration, request: TargetRequest) {
+        let is_member =
+            self.session.is_some() && self.lessee.has_valid_lease(now) && !self.writer.is_ending();
+        if is_member && self.target_requests.len() < MAX_REQUESTS {
+            self.target_requests
+                .retain(|(_, r)| r.session != request.session);
+            self.target_requests.push((now, request));
+        }
+    }
+
+    /// Drops requests that are in the table, and requests older than [`REQUEST_TTL`], whose
+    /// processes write the changes themselves after [`REQUEST_TIMEOUT`].
+    pub(super) fn drop_stale_requests(&mut self, now: Duration) {
         let table = &self.table;
         let has_joined = |r: &JoinRequest| {
             table
@@ -102,19 +190,47 @@
                 .any(|s| s.incarnation == r.incarnation)
         };
         self.join_requests
-            .retain(|(at, r)| now < *at + JOIN_REQUEST_TTL && !has_joined(r));
+            .retain(|(at, r)| now < *at + REQUEST_TTL && !has_joined(r));
+        let has_entry = |r: &TargetRequest| {
+            let session = table.session(r.session);
+            session.is_some_and(|s| s.target.is_some())
+        };
+        self.target_requests
+            .retain(|(at, r)| now < *at + REQUEST_TTL && !has_entry(r));
     }
 
-    /// Returns when the swap for the pending join requests is due.
-    pub(super) fn join_requests_due_at(&self) -> Option<Duration> {
-        self.join_requests
-            .first()
-            .map(|(at, _)| *at + JOIN_BATCH_DELAY)
+    /// Returns when the swap for the pending requests is due.
+    pub(super) fn requests_due_at(&self) -> Option<Duration> {
+        let join = self.join_requests.first().map(|(at, _)| *at);
+        let target = self.target_requests.first().map(|(at, _)| *at);
+        let first = join.into_iter().chain(target).min();
+        first.map(|at| at + BATCH_DELAY)
+    }
+
+    /// Adds the first entries of targets that sessions requested.
+    pub(super) fn propose_requested_targets(&mut self, proposal: &mut TableProposal) {
+        for (_, request) in &self.target_requests {
+            let session = proposal.table.session(request.session);
+            if session.is_none_or(|s| s.target.is_some()) {
+                continue;
+            }
+            let Some(target) = target_info(&proposal.table, &request.target) else {
+                continue;
+            };
+            let change = Change::SetTarget {
+                session: request.session,
+                target: Some(target),
+            };
+            let kind = DecisionKind::TargetChanged {
+                session: request.session,
+            };
+            proposal.push(change, kind);
+        }
     }
 
     /// Adds the joins of the pending join requests.
     pub(super) fn propose_requested_joins(&mut self, now: Duration, proposal: &mut TableProposal) {
-        self.drop_stale_join_requests(now);
+        self.drop_stale_requests(now);
         let join_requests: Vec<JoinRequest> =
             self.join_requests.iter().map(|(_, r)| r.clone()).collect();
         for request in &join_requests {
@@ -164,7 +280,10 @@
             term: 1,
             // Shards can be assigned only to a session with a target, so a restarted daemon needs
             // this entry to take over the shards of its predecessor.
-            target: target_info(&proposal.table, request),
+            target: request
+                .target
+                .as_ref()
+                .and_then(|report| target_info(&proposal.table, report)),
         };
         let (id, vm) = (location.id, request.vm.clone());
         let joined = proposal.push(
@@ -180,8 +299,7 @@
     }
 }
 
-fn target_info(table: &Table, request: &JoinRequest) -> Option<TargetInfo> {
-    let report = request.target.as_ref()?;
+fn target_info(table: &Table, report: &TargetReport) -> Option<TargetInfo> {
     Some(TargetInfo {
         service: table.service_id(&report.service)?,
         slots: report.slots,
--- a/crates/ownership/src/lease/proposal.rs
+++ b/crates/ownership/src/lease/proposal.rs
@@ -124,6 +124,7 @@
         if let Some(me) = self.session {
             self.propose_target(me, &mut proposal);
             self.propose_requested_joins(now, &mut proposal);
+            self.propose_requested_targets(&mut proposal);
             self.propose_released_moves(&mut proposal);
             self.propose_moves(now, me, &mut proposal);
             self.propose_key_moves(me, &mut proposal);
--- a/crates/ownership/src/lease/schedule.rs
+++ b/crates/ownership/src/lease/schedule.rs
@@ -20,7 +20,7 @@
 /// Expected duration of one swap under contention. Swaps for which several sessions have the same
 /// reason are spread over this time multiplied by the number of sessions. Otherwise all survivors
 /// of a lost data centre would write at once.
-const EXPECTED_SWAP_TIME: Duration = Duration::from_millis(5);
+const EXPECTED_SWAP_TIME: Duration = Duration::from_millis(15);
 
 /// Delay that lets several released shards share one swap.
 const MOVE_BATCH_DELAY: Duration = Duration::from_millis(10);
@@ -31,6 +31,7 @@
         // An entry in the past would remain the next deadline, and the driver would never sleep.
         self.settling_until.retain(|_, until| now < *until);
         self.send_renewals(now);
+        self.request_target(now);
         self.release_leaving_shards();
         // A restored store may have lost the base version of a pending swap, or versions after it.
         if self.restoration.is_none()
@@ -48,12 +49,14 @@
         if self.writer.pending.is_some() || !is_due || now < self.writer.not_before {
             return;
         }
-        // R4: while a change of lessors is pending, renewals of fewer lessors count. A swap
+        // R4: while a change of lessors is pending, renewals of fewer lessors count. Such a swap
         // therefore starts only after a successful read, so that it is unlikely to remain pending
-        // because of a platform outage.
-        if self
-            .writer
-            .is_current(now, self.table.version, &self.settings)
+        // because of a platform outage. For other swaps a table that a peer has just written is
+        // enough.
+        let version = self.table.version;
+        let changes_lessors = self.lessor_change().is_some_and(|(at, _)| at <= now);
+        if self.writer.is_current(now, version, &self.settings)
+            || (!changes_lessors && self.writer.is_recently_installed(now, version))
         {
             self.start_swap(now);
         } else if let Some(read) = self.writer.start_read(now) {
@@ -214,7 +217,8 @@
             .map(|(_, first_seen_at)| *first_seen_at + self.settings.lease / 2 + jitter);
         let immediately = Duration::ZERO;
         let lost_sessions = (!self.confirmed_lost.is_empty()).then_some(immediately);
-        let target = self.target_update_due(own).then_some(immediately);
+        let target = self.target_update_due(own);
+        let target = target.then(|| self.requests.target_deadline().unwrap_or(immediately));
         let declarations = self.undeclared().next().map(|_| self.installed_at + jitter);
         let released_moves = (!self.released_moves.is_empty()).then_some(immediately);
         let leave = self.may_leave().then_some(immediately);
@@ -226,7 +230,7 @@
             .chain(released_moves)
             .chain(leave)
             .chain(self.moves_due_at())
-            .chain(self.join_requests_due_at())
+            .chain(self.requests_due_at())
             .chain(self.assignment_due_at())
             .chain(self.lessor_change().map(|(at, _)| at))
             .min()
@@ -236,7 +240,7 @@
     /// waits for the next swap: it is only a weight for later assignments, and since all daemons
     /// measure capacities at the same time, each would run into as many conflicts as there are
     /// daemons.
-    fn target_update_due(&self, own: &Session) -> bool {
+    pub(super) fn target_update_due(&self, own: &Session) -> bool {
         let capacity = own.target.as_ref().map_or(0, |t| t.capacity);
         let desired = self.desired_target(&self.table);
         desired.map(|t| TargetInfo { capacity, ..t }) != own.target
@@ -255,7 +259,7 @@
             Some(_) => self.replace_at(),
             None => self.identity.bound_at,
         };
-        Some(own_join.max(self.join_request_deadline().unwrap_or_default()))
+        Some(own_join.max(self.requests.join_deadline().unwrap_or_default()))
     }
 
     /// Returns the earliest time at which the predecessor's session may be ended (R7).
@@ -473,6 +477,7 @@
         if self.session.is_none() && self.session_chart.state() == "outside" {
             self.step_session("swap.started");
         }
+        self.jitter_fraction = self.writer.random_fraction();
         let change_id = self.writer.change_id();
         let delta = Delta {
             to_version: self.table.version + 1,
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -18,6 +18,10 @@
 /// Time after which a read or swap without a reply counts as failed.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which an installed table shows that the platform store replies. A swap that starts in an
+/// outage keeps the shards that it moves from being served.
+const MAX_INSTALLED_AGE: Duration = Duration::from_millis(500);
+
 /// Maximum number of doublings of the back-off after conflicts.
 const MAX_DOUBLINGS: u32 = 5;
 
@@ -65,6 +69,9 @@
     /// Table version last seen in the platform store, and when: the start of the read, or the time
     /// of the reply to the write. `None` after a call that failed or had a conflict.
     last_seen: Option<(u64, Duration)>,
+    /// Table version last installed, and when. A peer that sent it had a reply of the platform store
+    /// shortly before.
+    last_installed: Option<(u64, Duration)>,
     pub pending: Option<PendingSwap>,
     /// End of the back-off.
     pub not_before: Duration,
@@ -81,6 +88,7 @@
             last_read_id: 0,
             read_in_flight: None,
             last_seen: None,
+            last_installed: None,
             pending: None,
             not_before: Duration::ZERO,
             failures: 0,
@@ -93,6 +101,11 @@
         limit.mul_f64(self.rng.random_range(0.0..1.0))
     }
 
+    /// Returns a random number between 0 and 1.
+    pub fn random_fraction(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
     /// Returns a random number other than 0.
     pub fn random_nonzero(&mut self) -> u64 {
         self.rng.random_range(1..u64::MAX)
@@ -105,6 +118,29 @@
             .is_some_and(|(seen, at)| seen == version && is_recent(at))
     }
 
+    /// Records that a table of `version` was installed.
+    pub fn record_installed(&mut self, now: Duration, version: u64) {
+        self.last_installed = Some((version, now));
+    }
+
+    /// Returns whether `version` was installed shortly before, and the platform store replied to the
+    /// last call of this daemon.
+    pub fn is_recently_installed(&self, now: Duration, version: u64) -> bool {
+        let is_recent = |at: Duration| now < at + MAX_INSTALLED_AGE;
+        self.platform_responsive()
+            && self
+                .last_installed
+                .is_some_and(|(installed, at)| installed == version && is_recent(at))
+    }
+
+    /// Delays the next read and swap by a random part of `limit`. The swap then requires another
+    /// read.
+    pub fn postpone(&mut self, now: Duration, limit: Duration) {
+        self.not_before = now + self.jitter(limit);
+        self.last_seen = None;
+        self.last_installed = None;
+    }
+
     /// Returns when `version` was last seen in the platform store: the start of the read, or the
     /// time of the reply to the write. `None` if the version last seen is another one or unknown.
     pub fn last_seen_at(&self, version: u64) -> Option<Duration> {
@@ -120,11 +156,6 @@
                 .is_some_and(|(_, at)| now < at + settings.lease)
     }
 
-    /// Returns whether a swap has had a conflict since the last successful one.
-    pub fn had_conflict(&self) -> bool {
-        self.conflicts > 0
-    }
-
     /// Returns whether no read is in flight and the last read, if any, got a reply.
     pub fn platform_responsive(&self) -> bool {
         self.failures == 0 && self.read_in_flight.is_none()
@@ -170,6 +201,7 @@
             None => {
                 self.failures += 1;
                 self.last_seen = None;
+                self.last_installed = None;
                 self.back_off(now, settings.max_backoff, settings);
             }
         }
@@ -212,6 +244,7 @@
             pending.needs_read_back = true;
         }
         self.last_seen = None;
+        self.last_installed = None;
         if conflict {
             self.back_off_after_conflict(now, settings);
         }
--- a/crates/ownership/src/lessor_selection.rs
+++ b/crates/ownership/src/lessor_selection.rs
@@ -22,6 +22,10 @@
 /// sessions had 15 to 20 lessees.
 const LESSEE_SOFT_LIMIT: u32 = 4;
 
+/// Mean number of sessions between two that a change of lessors must gain on the ring. A cycle of
+/// lessors that are up to this far apart still spans the ring in many steps.
+const RING_STEP_SESSIONS: u128 = 16;
+
 /// Id and location of a lessee.
 #[derive(Debug, Clone, Copy)]
 pub struct Location<'a> {
@@ -112,31 +116,61 @@
     let sets = lessee.lessors.iter().filter_map(replace_lessor);
     let score_of = |set: &[SessionId]| score(table, &lessees, location, set);
     let best = sets.min_by_key(|set| score_of(set))?;
-    let better = score_of(&best) < score_of(&lessee.lessors);
-    better.then_some(best)
+    let is_better = score_of(&best).coarse() < score_of(&lessee.lessors).coarse();
+    is_better.then_some(best)
+}
+
+/// Score of a set of lessors; lower is better.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    ranks: u32,
+    mutual: u32,
+    lessee_penalty: u32,
+    /// In a large fleet the sum of the distances on the ring, which keeps cycles of lessors long. In
+    /// a small fleet 0, and the even distribution of lessees keeps the cycles long.
+    ring_distance: u128,
+    /// Distance on the ring that a change of lessors must gain.
+    ring_step: u128,
 }
 
-/// Returns the score of a set of lessors; lower is better. In a large fleet the last element is the
-/// sum of the distances on the ring, which keeps cycles of lessors long. In a small fleet it is 0,
-/// and the even distribution of lessees keeps the cycles long.
+impl Score {
+    /// Returns the score for the decision whether to change lessors. Each session that joins becomes
+    /// the nearest one on the ring for some others; if they changed their lessors for it, each join
+    /// would cause further swaps.
+    fn coarse(self) -> Self {
+        Self {
+            ring_distance: self.ring_distance / self.ring_step,
+            ..self
+        }
+    }
+}
+
+/// Returns the score of a set of lessors.
 fn score(
     table: &Table,
     lessees: &LesseeCounts<'_>,
     location: Location<'_>,
     set: &[SessionId],
-) -> (u32, u32, u32, u128) {
+) -> Score {
     let mut chosen: Vec<&Session> = Vec::new();
-    let (mut ranks, mut mutual, mut lessee_penalty, mut tie_break) = (0, 0, 0, 0);
+    let sessions = table.sessions.len().max(1) as u128;
+    let mut score = Score {
+        ranks: 0,
+        mutual: 0,
+        lessee_penalty: 0,
+        ring_distance: 0,
+        ring_step: u128::from(u64::MAX) / sessions * RING_STEP_SESSIONS,
+    };
     for s in set.iter().filter_map(|&id| table.session(id)) {
-        ranks += u32::from(placement_rank(location, &chosen, s));
-        mutual += u32::from(s.lessors.contains(&location.id));
-        lessee_penalty += lessees.lessee_penalty(s.id);
+        score.ranks += u32::from(placement_rank(location, &chosen, s));
+        score.mutual += u32::from(s.lessors.contains(&location.id));
+        score.lessee_penalty += lessees.lessee_penalty(s.id);
         if table.sessions.len() > SMALL_FLEET_SESSIONS {
-            tie_break += u128::from(ring_distance(location.id, s.id));
+            score.ring_distance += u128::from(ring_distance(location.id, s.id));
         }
         chosen.push(s);
     }
-    (ranks, mutual, lessee_penalty, tie_break)
+    score
 }
 
 /// Number of lessees of each session, by its index in the table.
--- a/crates/ownership/tests/sim/vm.rs
+++ b/crates/ownership/tests/sim/vm.rs
@@ -311,6 +311,9 @@
             }
             Effect::ReadTable { read } => self.call_platform(index, CallKind::Read(read)),
             Effect::SendJoin { to, request } => self.send(index, to, Event::JoinRequested(request)),
+            Effect::SendTarget { to, request } => {
+                self.send(index, to, Event::TargetRequested(request))
+            }
             Effect::Pull { from } => self.request_pull(index, from),
             Effect::TableChanged(table) => self.disseminate_table(index, &table),
             Effect::DrainShard(held) => self.drain(index, held),
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -60,13 +60,15 @@
 pub const PATH_LOAD: &str = "/load";
 /// Daemon to daemon: request to a member to write the sender's join.
 pub const PATH_JOIN: &str = "/join";
+/// Daemon to daemon: request to write the first entry of the sender's target to the table.
+pub const PATH_TARGET: &str = "/target";
 /// Daemon to daemon: handover data of the target that released a shard, for the next owner's
 /// target.
 pub const PATH_HANDOVER: &str = "/handover";
 /// Daemon to daemon: request to a member to read or write the table in the platform store.
 pub const PATH_STORE: &str = "/store";
 /// Paths of all control messages between daemons. [`PATH_FORWARD`] is not among them.
-pub const CONTROL_PATHS: [&str; 9] = [
+pub const CONTROL_PATHS: [&str; 10] = [
     PATH_RENEW,
     PATH_EXPIRED,
     PATH_UPDATE,
@@ -75,6 +77,7 @@
     PATH_LOAD,
     PATH_HANDOVER,
     PATH_JOIN,
+    PATH_TARGET,
     PATH_STORE,
 ];
 /// Daemon to daemon: a forwarded request of a caller.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -96,6 +96,9 @@
     pub deltas: Vec<Delta>,
     /// The whole table, if the sender no longer has the requested deltas.
     pub table: Option<Table>,
+    /// Where the platform store has the newest of these versions, if the sender knows it. A swap of
+    /// that version then needs no read.
+    pub stored: Option<StoredTable>,
     /// Reasons for moves, by the table version that contains the move.
     pub move_reasons: Vec<(u64, MoveReason)>,
     /// A newer configuration.
@@ -136,6 +139,17 @@
     }
 }
 
+/// A version of the table in the platform store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredTable {
+    /// Version of the table.
+    pub version: u64,
+    /// Era of the store.
+    pub era: u64,
+    /// Revision of the table's key in that era.
+    pub revision: u64,
+}
+
 /// Reason for a requested move.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MoveReason {
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -12,7 +12,8 @@
 use masticdeal_wire::codec::{Error, MAX_FRAME_BYTES, PREFIX_BYTES, decode, decode_body, encode};
 use masticdeal_wire::peer::{
     ConfigUpdate, ConfigValue, ExpiryReply, ExpiryRequest, Forward, ForwardReply, LoadHint,
-    MoveReason, Pull, Reason, Release, ReleaseReply, Renew, RenewReply, Update, Versions,
+    MoveReason, Pull, Reason, Release, ReleaseReply, Renew, RenewReply, StoredTable, Update,
+    Versions,
 };
 use masticdeal_wire::text_delta::TextDelta;
 use proptest::prelude::*;
@@ -92,6 +93,11 @@
         move_reasons: vec![(7, MoveReason::Operator("duc".into()))],
         deltas: vec![delta; 3],
         table: Some(table(2, 6, 2)),
+        stored: Some(StoredTable {
+            version: 8,
+            era: 1,
+            revision: u64::MAX,
+        }),
         config: Some(config_update(&"[rules]\n".repeat(50))),
     }
 }
