Divide services with numeric keys more finely in large fleets

Cause: hot keys are adjacent. The planner asked all 196 daemons, 14 a second, and planned by slots as long as one target was not measured.

--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -103,6 +103,23 @@
 /// did not fit into their replies after a few changes of the fleet.
 pub const NUMERIC_KEY_SHARDS: u32 = 512;
 
+/// Maximum number of shards of a service with numeric keys, which gives shards of 16 keys.
+const MAX_NUMERIC_KEY_SHARDS: u32 = 4_096;
+
+/// Shards of a service with numeric keys per write that the platform store accepts per second. The
+/// stores of fleets of 71 and of 196 daemons accept 1,200 and 3,200 writes per second; with 2,048 and
+/// 4,096 shards, each target of their sharded services owns 52 and 38.
+const SHARDS_PER_WRITE_RATE: f64 = 1.25;
+
+/// Returns the number of shards of a service with numeric keys in a fleet whose store accepts
+/// `writes_per_s`, 0 if unknown. Grants stay small in a larger fleet, since its shards have more
+/// owners.
+pub fn numeric_key_shards(writes_per_s: u32) -> u32 {
+    let shards = (f64::from(writes_per_s) * SHARDS_PER_WRITE_RATE) as u32;
+    let shards = shards.checked_next_power_of_two().unwrap_or(u32::MAX);
+    shards.clamp(NUMERIC_KEY_SHARDS, MAX_NUMERIC_KEY_SHARDS)
+}
+
 /// Rules for all services.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rules {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -74,6 +74,9 @@
     pub address: SocketAddr,
     /// Timeout of one request.
     pub timeout: Duration,
+    /// Writes per second that the store accepts from all daemons; 0 if unknown. The store of a larger
+    /// fleet accepts more, and services with numeric keys are then divided more finely.
+    pub writes_per_s: u32,
 }
 
 /// Timing of the peer lease.
@@ -196,6 +199,7 @@
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 7100)),
             timeout: Duration::from_millis(500),
+            writes_per_s: 0,
         }
     }
 }
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use masticdeal_config::deployment::Deployment;
+use masticdeal_config::deployment::{Deployment, NUMERIC_KEY_SHARDS, numeric_key_shards};
 use masticdeal_config::diff;
 use masticdeal_config::fault::Fault;
 use masticdeal_platform::{Client, Position, SwapOutcome, Value};
@@ -189,7 +189,7 @@
             return false;
         }
         let deployment = match (self.node.protocol.config.parse)(&value.text) {
-            Ok(deployment) => deployment,
+            Ok(deployment) => self.with_fine_shards(deployment),
             Err(faults) => {
                 log::error!(
                     "ignoring configuration revision {} with {} faults",
@@ -211,6 +211,23 @@
         true
     }
 
+    /// Divides the services with numeric keys as finely as the platform's store allows, unless daemons
+    /// write the configuration, which then names the numbers of shards.
+    fn with_fine_shards(&self, mut deployment: Deployment) -> Deployment {
+        if self.node.protocol.config.writable {
+            return deployment;
+        }
+        let shards = numeric_key_shards(self.node.settings.platform.writes_per_s);
+        for service in &mut deployment.services {
+            if service.has_numeric_keys() && service.shards > 0 {
+                service.shards = shards;
+            }
+        }
+        let planned = deployment.rules.moves_per_round as u32 * shards / NUMERIC_KEY_SHARDS;
+        deployment.rules.moves_per_round = planned as usize;
+        deployment
+    }
+
     /// Reads the configuration from the platform's store.
     ///
     /// # Errors
--- a/crates/daemon/src/control/load_collection.rs
+++ b/crates/daemon/src/control/load_collection.rs
@@ -44,25 +44,38 @@
     /// Returns the last report of each session in the table that has replied to any load request. A
     /// report is older than `MAX_AGE` only if its daemon did not reply to the last request.
     pub async fn collect_loads(self: &Arc<Self>) -> HashMap<SessionId, CollectedLoad> {
+        let table = self.node.table.borrow().clone();
+        self.collect_loads_of(table.sessions.iter().map(|s| s.id).collect())
+            .await
+    }
+
+    /// As [`collect_loads`](Self::collect_loads), of the given sessions.
+    pub(super) async fn collect_loads_of(
+        self: &Arc<Self>,
+        sessions: Vec<SessionId>,
+    ) -> HashMap<SessionId, CollectedLoad> {
         let mut collection = self.load_collection.lock().await;
         let now = self.node.clock.now();
         let is_current = collection
             .collected_at
             .is_some_and(|collected_at| now.saturating_sub(collected_at) < MAX_AGE);
         if !is_current {
-            self.refresh_loads(&mut collection).await;
+            self.refresh_loads(&mut collection, sessions).await;
             collection.collected_at = Some(now);
         }
         collection.loads.clone()
     }
 
-    async fn refresh_loads(self: &Arc<Self>, collection: &mut LoadCollection) {
+    async fn refresh_loads(
+        self: &Arc<Self>,
+        collection: &mut LoadCollection,
+        sessions: Vec<SessionId>,
+    ) {
         let table = self.node.table.borrow().clone();
         collection
             .loads
             .retain(|id, _| table.session(*id).is_some());
-        let ids: Vec<_> = table.sessions.iter().map(|s| s.id).collect();
-        let requests = ids.into_iter().map(|id| self.clone().request_load(id));
+        let requests = sessions.into_iter().map(|id| self.clone().request_load(id));
         let replies: Vec<_> = stream::iter(requests)
             .buffer_unordered(MAX_CONCURRENT_REQUESTS)
             .collect()
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -29,9 +29,9 @@
 const MAX_RANGES: usize = 140;
 
 /// Maximum number of load requests that the planner sends per second. In a larger fleet the rounds
-/// are further apart, so that the planner's traffic does not grow with the fleet. A report with 34
-/// shards and 18 keys has about 600 bytes, and the limit for control traffic is 11 KB/s.
-const REQUESTS_PER_SECOND: u32 = 14;
+/// are further apart, so that the planner's traffic does not grow with the fleet. In a fleet of 108
+/// owners a report of 38 shards has about 250 bytes, and the limit for control traffic is 11 KB/s.
+const REQUESTS_PER_SECOND: u32 = 36;
 
 impl Control {
     /// Runs planning rounds while this daemon is the planner, until the task is dropped.
@@ -46,12 +46,13 @@
     }
 
     fn round_interval(&self) -> Duration {
-        let sessions = self.node.table.borrow().sessions.len() as u32;
+        let sessions = shard_owners(&self.node.table.borrow()).len() as u32;
         MIN_ROUND_INTERVAL.max(Duration::from_secs(1) * sessions / REQUESTS_PER_SECOND)
     }
 
     async fn run_planner_round(self: &Arc<Self>) {
-        let collected = self.collect_loads().await;
+        let owners = shard_owners(&self.node.table.borrow());
+        let collected = self.collect_loads_of(owners).await;
         let table = self.node.table.borrow().clone();
         let mut loads = combine_loads(&table, &collected);
         self.clear_hot_keys(&mut loads);
@@ -124,6 +125,14 @@
     }
 }
 
+/// Returns the sessions whose targets may own shards.
+fn shard_owners(table: &Table) -> Vec<SessionId> {
+    let is_sharded = |id| table.service(id).is_some_and(|s| !s.shards.is_empty());
+    let sessions = table.sessions.iter();
+    let owners = sessions.filter(|s| s.target.as_ref().is_some_and(|t| is_sharded(t.service)));
+    owners.map(|s| s.id).collect()
+}
+
 /// Logs the loads that led to the moves of a round: the rate and the capacity, in requests per
 /// second, of each target that a shard or key moves from or to.
 fn log_planned_moves(table: &Table, loads: &FleetLoad, moves: &[Move]) {
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -22,7 +22,7 @@
 //! shard under an epoch above that of this range. The same incarnation of a target never receives a
 //! shard under a lower epoch than before.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -153,7 +153,11 @@
         for range in &report.released {
             state.record_released(range, shard_count);
         }
-        let holds = |shard: ShardId| held_ranges.iter().any(|r| overlaps(r, shard, shard_count));
+        let held: BTreeSet<ShardId> = held_ranges
+            .iter()
+            .flat_map(|range| overlapping_shards(range, shard_count))
+            .collect();
+        let holds = |shard: ShardId| held.contains(&shard);
         // A target that holds a shard has applied the handover for it.
         state.received_handovers.retain(|shard, _| !holds(*shard));
         let replies_sent = state.replies_sent;
@@ -282,20 +286,18 @@
         max_earlier_grant: Duration,
     ) {
         for range in held_ranges {
-            for shard in (0..shard_count).map(ShardId) {
-                if overlaps(range, shard, shard_count) {
-                    let granted = self.granted.entry(shard).or_insert(Granted {
-                        epoch: Epoch(range.epoch),
-                        range_epoch: Epoch(range.epoch),
-                        serve_from: now,
-                        until: now + max_earlier_grant,
-                        reply_number: None,
-                        confirmed_at: now,
-                        refused: false,
-                    });
-                    granted.confirmed_at = now;
-                    granted.refused = false;
-                }
+            for shard in overlapping_shards(range, shard_count) {
+                let granted = self.granted.entry(shard).or_insert(Granted {
+                    epoch: Epoch(range.epoch),
+                    range_epoch: Epoch(range.epoch),
+                    serve_from: now,
+                    until: now + max_earlier_grant,
+                    reply_number: None,
+                    confirmed_at: now,
+                    refused: false,
+                });
+                granted.confirmed_at = now;
+                granted.refused = false;
             }
         }
     }
@@ -303,8 +305,8 @@
     /// Stores the handover of a released range for each shard that lies in the range completely, as
     /// far as there is room for it.
     fn record_released(&mut self, range: &ReleasedRange, shard_count: u32) {
-        for index in 0..shard_count {
-            let shard = ShardId(index);
+        let (first, last) = (range.first, range.last);
+        for shard in shards_between(first, last, shard_count) {
             let (first, last) = shard_key_range(shard, shard_count);
             let contains_shard = range.first <= first && last <= range.last;
             if contains_shard && self.released_handovers.len() < MAX_STORED_HANDOVERS {
@@ -414,9 +416,26 @@
     u64::from(key.rotate_left(shard_count.trailing_zeros() % u16::BITS))
 }
 
-fn overlaps(range: &HeldRange, shard: ShardId, shard_count: u32) -> bool {
-    let (first, last) = shard_key_range(shard, shard_count);
-    range.first <= last && first <= range.last
+/// Returns the shards of which a range contains any key.
+fn overlapping_shards(
+    range: &HeldRange,
+    shard_count: u32,
+) -> impl Iterator<Item = ShardId> + use<> {
+    shards_between(range.first, range.last, shard_count)
+}
+
+/// Returns the shards with any key from `first` to `last`; none if `last` is below `first`.
+fn shards_between(
+    first: u16,
+    last: u16,
+    shard_count: u32,
+) -> impl Iterator<Item = ShardId> + use<> {
+    let width = KEY_SPACE / shard_count;
+    let end = match first <= last {
+        true => u32::from(last) / width + 1,
+        false => 0,
+    };
+    (u32::from(first) / width..end).map(ShardId)
 }
 
 fn can_merge(last: &GrantedRange, next: &GrantedRange) -> bool {
--- a/crates/daemon/src/ingress/head.rs
+++ b/crates/daemon/src/ingress/head.rs
@@ -55,7 +55,7 @@
             .resolve(host(parts), path, rand::random())
             .ok_or(Failure::not_run(Reason::NoService))?;
         let (service, route) = (matched.service, matched.route);
-        let key_hash = key_hash(service, parts)?;
+        let key_hash = key_hash(node, service, parts)?;
         let now = node.clock.now();
         let requested = requested_timeout(&parts.headers, names.deadline.as_str())?;
         let max_timeout = route.map_or(service.deadline, |r| r.timeout);
@@ -142,7 +142,7 @@
     Ok(())
 }
 
-fn key_hash(service: &Service, parts: &Parts) -> Result<Option<u64>, Failure> {
+fn key_hash(node: &Node, service: &Service, parts: &Parts) -> Result<Option<u64>, Failure> {
     if service.key.is_none() {
         return Ok(None);
     }
@@ -156,7 +156,12 @@
     let key = key.ok_or(Failure::not_run(Reason::NoKey))?;
     if service.has_numeric_keys() {
         let number = key.parse().map_err(|_| Failure::not_run(Reason::NoKey))?;
-        return Ok(Some(numeric_key_hash(number, service.shards)));
+        let table = node.table.borrow();
+        let declared = table
+            .service_id(&service.name)
+            .and_then(|id| table.service(id));
+        let shards = declared.map_or(service.shards, |s| s.shards.len() as u32);
+        return Ok(Some(numeric_key_hash(number, shards)));
     }
     Ok(Some(xxh3_64(key.as_bytes())))
 }
--- a/crates/ownership/src/planner.rs
+++ b/crates/ownership/src/planner.rs
@@ -20,8 +20,8 @@
 pub struct FleetLoad {
     /// One entry per service of the table; a service without an entry counts as idle.
     pub services: Vec<ServiceLoad>,
-    /// Measured capacity of each target in requests per second, by session. A service with an
-    /// unmeasured target is planned with the weights from the table.
+    /// Measured capacity of each target in requests per second, by session. A target without one
+    /// counts as average.
     pub capacities: BTreeMap<SessionId, f64>,
     /// Stalled owners, which do not start requested moves. Their shards stay where they are.
     pub stalled: BTreeSet<SessionId>,
@@ -150,9 +150,7 @@
         let load = loads.services.get(index).unwrap_or(&idle);
         let id = ServiceId(index as u16);
         let weights = target_weights(table, id, &loads.capacities);
-        let measured = weights
-            .iter()
-            .all(|(s, _)| loads.capacities.get(s) > Some(&0.0));
+        let measured = are_most_measured(weights.iter().map(|(s, _)| *s), &loads.capacities);
         let utilisation = Utilisation {
             rate: if measured {
                 total_rate(service, load)
@@ -193,23 +191,48 @@
         .fold(0.0, f64::max)
 }
 
-/// Returns the ready targets of a service with their weights: the measured capacities if all are
-/// known, and the weights from the table otherwise.
+/// Returns whether the capacities of most targets are measured.
+fn are_most_measured(
+    targets: impl Iterator<Item = SessionId>,
+    capacities: &BTreeMap<SessionId, f64>,
+) -> bool {
+    let (mut measured, mut count) = (0, 0);
+    for target in targets {
+        count += 1;
+        measured += usize::from(capacities.get(&target) > Some(&0.0));
+    }
+    measured * 2 > count
+}
+
+/// Returns the ready targets of a service with their weights: the measured capacities if most are
+/// known, and the weights from the table otherwise. A target that has just joined is not measured
+/// yet, and must not hide what is known of the others; it gets their mean capacity per slot.
 fn target_weights(
     table: &Table,
     service: ServiceId,
     capacities: &BTreeMap<SessionId, f64>,
 ) -> Vec<(SessionId, f64)> {
     let ready = assignment::ready_targets(table, service);
-    let measured = |id: &SessionId| capacities.get(id).copied().filter(|c| *c > 0.0);
-    let all: Option<Vec<_>> = ready
+    if !are_most_measured(ready.iter().map(|(id, _)| *id), capacities) {
+        return ready.iter().map(|(id, w)| (*id, f64::from(*w))).collect();
+    }
+    let slots = |id: SessionId| {
+        let target = table.session(id).and_then(|s| s.target.as_ref());
+        target.map_or(1.0, |t| f64::from(t.slots.max(1)))
+    };
+    let measured = |id: SessionId| capacities.get(&id).copied().filter(|c| *c > 0.0);
+    let (mut capacity, mut measured_slots) = (0.0, 0.0);
+    for (id, _) in &ready {
+        if let Some(measured) = measured(*id) {
+            capacity += measured;
+            measured_slots += slots(*id);
+        }
+    }
+    let mean_per_slot = capacity / measured_slots;
+    ready
         .iter()
-        .map(|(id, _)| Some((*id, measured(id)?)))
-        .collect();
-    all.unwrap_or_else(|| {
-        let weights = ready.iter().map(|(id, w)| (*id, f64::from(*w)));
-        weights.collect()
-    })
+        .map(|(id, _)| (*id, measured(*id).unwrap_or(slots(*id) * mean_per_slot)))
+        .collect()
 }
 
 /// Load and capacity of a service, both in requests per second.
