Close the caller port of a stopping daemon when its linger time ends

Cause: a report of another operator (requests taken late in the grace of a planned stop and cut at its end) could happen here: while the shards of a leaving target waited to move, the caller port stayed open for up to 1.5 s more, and the drain time counted from then, 1.5 s beyond the grace.

Ruled out: a stop beside a target that stays (it does not wait for moves).

Change: the caller port closes at the end of the linger time; the owner role still serves shards that have not moved; the drain ends with the grace.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -89,7 +89,7 @@
     waiting_limit: Semaphore,
 }
 
-/// Serves the caller port until [`Node::draining`] is set. Running requests then have
+/// Serves the caller port until [`Node::caller_port_closed`] is set. Running requests then have
 /// `settings.daemon.drain_timeout`, less the linger time, to finish before their connections are
 /// aborted.
 pub async fn serve(node: Arc<Node>, peers: Arc<Peers>, owner: Arc<Owner>, listener: TcpListener) {
@@ -120,7 +120,7 @@
     }
 }
 
-/// Accepts connections until the daemon starts to drain. Closes the listener on return.
+/// Accepts connections until the caller port closes. Closes the listener on return.
 async fn accept_connections(
     ingress: &Arc<Ingress>,
     listener: TcpListener,
@@ -129,11 +129,11 @@
 ) {
     let connection_limit = Arc::new(Semaphore::new(ingress.node.settings.limits.connections));
     let rejection_limit = Arc::new(Semaphore::new(MAX_REJECTIONS));
-    let mut draining = ingress.node.draining.subscribe();
+    let mut closed = ingress.node.caller_port_closed.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = draining.wait_for(|draining| *draining) => return,
+            _ = closed.wait_for(|closed| *closed) => return,
         };
         let Ok((stream, _)) = accepted else {
             sleep(ACCEPT_BACKOFF).await;
@@ -191,7 +191,7 @@
         // The HTTP library has no time-out for the bytes that identify the protocol.
         let preface_timer = sleep(PREFACE_TIMEOUT);
         tokio::pin!(preface_timer);
-        let mut draining = self.node.draining.subscribe();
+        let mut closed = self.node.caller_port_closed.subscribe();
         let (mut is_closing, mut is_protocol_known) = (false, false);
         loop {
             tokio::select! {
@@ -202,7 +202,7 @@
                         return;
                     }
                 }
-                _ = draining.wait_for(|draining| *draining), if !is_closing => {
+                _ = closed.wait_for(|closed| *closed), if !is_closing => {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -62,6 +62,8 @@
     /// Whether the daemon received a stop signal. It still accepts requests for the linger time of
     /// the settings, but is no longer ready.
     pub stopping: watch::Sender<bool>,
+    /// Whether the caller port accepts no further connections or requests.
+    pub caller_port_closed: watch::Sender<bool>,
     /// Whether the daemon is shutting down and accepts no new requests.
     pub draining: watch::Sender<bool>,
     /// Ownership check of the lease core.
@@ -103,6 +105,7 @@
             session: watch::Sender::new(None),
             reported_versions: watch::Sender::new(Versions::default()),
             stopping: watch::Sender::new(false),
+            caller_port_closed: watch::Sender::new(false),
             draining: watch::Sender::new(false),
             may_serve,
             meter: Meter::default(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -23,8 +23,8 @@
 use crate::telemetry::logs;
 use crate::{ingress, reload, shutdown};
 
-/// Maximum time for which a leaving daemon still accepts requests while its shards move. It is
-/// below the 2 s after which a leaving target gets no new requests.
+/// Maximum time for which a leaving daemon still accepts forwarded requests while its shards move.
+/// It is below the 2 s after which a leaving target gets no new requests.
 const SHARD_MOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Maximum wait for the end of the session after the requests have completed or the drain timeout
@@ -153,13 +153,16 @@
     let linger = node.settings.daemon.linger;
     let resumes = control.target_survives_restart();
     log::info!(linger_ms = linger.as_millis() as u64, resumes; "stopping");
+    let drained_by = node.clock.now() + node.settings.daemon.drain_timeout;
     node.stopping.send_replace(true);
     tokio::time::sleep(linger).await;
+    shutdown::close_caller_port(&node);
     if !resumes {
         control.handle_event(Event::LeaveRequested);
         await_session_end(&control, SHARD_MOVE_TIMEOUT).await;
     }
-    shutdown::shutdown(&node).await;
+    let remaining = drained_by.saturating_sub(node.clock.now());
+    shutdown::shutdown(&node, remaining).await;
     if !resumes && !await_session_end(&control, LEAVE_TIMEOUT).await {
         log::warn!("session did not end within {LEAVE_TIMEOUT:?} and is still in the table");
     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -159,7 +159,9 @@
 
     /// Shuts down and waits for the servers. Returns whether all requests finished.
     pub async fn shutdown(self) -> bool {
-        let finished = shutdown::shutdown(&self.node).await;
+        let daemon = &self.node.settings.daemon;
+        let remaining = daemon.drain_timeout.saturating_sub(daemon.linger);
+        let finished = shutdown::shutdown(&self.node, remaining).await;
         for server in self.servers {
             server.await.unwrap();
         }
