--- a/crates/config/src/settings_parser.rs
+++ b/crates/config/src/settings_parser.rs
@@ -146,7 +146,12 @@
     reader.check_keys(&["address", "timeout_ms", "writes_per_s"], None);
     reader.address("address", &mut platform.address);
     reader.millis("timeout_ms", 10..=60_000, &mut platform.timeout);
-    reader.number("writes_per_s", 0..=1_000_000, "", &mut platform.writes_per_s);
+    reader.number(
+        "writes_per_s",
+        0..=1_000_000,
+        "",
+        &mut platform.writes_per_s,
+    );
 }
 
 fn read_lease(lease: &mut Lease, reader: &mut SectionReader<'_, '_>) {
