Write up the late configuration, and do not pause the watch of it

Traced: the watch was issued after the restore and waited for a revision that the store had not reached. The window between two watches without a pause remains, as before.

--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -39,10 +39,6 @@
 /// versions in lease renewals deliver each of them, while each watch counts as a call.
 const TABLE_CHANGE_DELAY: Duration = Duration::from_secs(1);
 
-/// Pause of the watch after a change of the configuration. Each watch counts as a call, and changes
-/// may follow each other within 60 ms.
-const CONFIG_CHANGE_DELAY: Duration = Duration::from_millis(100);
-
 /// Interval at which the call counters are exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -142,7 +138,6 @@
             match self.config.decode(&value) {
                 Ok(stored) if self.install_stored_config(&stored, era).await => {
                     self.disseminate_config();
-                    tokio::time::sleep(CONFIG_CHANGE_DELAY).await;
                 }
                 Ok(stored) => {
                     self.config.install_rewritten(&stored);
