Let the planner write the moves of many owners

Cause: in a planning round over 108 owners each one read the store to see that it replies, and wrote its own swap, against all others.

Change: above eight owners the planner writes all moves that it was told of within 100 ms. The lease core had this variant, with the owner's reclaim, in its model tests; the daemon now carries the messages. Fewer owners write their own moves, which they can cancel in an outage; a planner's moves can't be cancelled, and wait for the store.

--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -57,7 +57,7 @@
     case("level = info", "level = inform", &["[log] level", "nearest is `info`"]),
     case("control = debug", "control = loud", &["level.masticdeald.control", "trace"]),
     case("[log]", "[logs]", &["[logs]: unknown section: nearest is `log`"]),
-    case("[lease]", "[lease", &["daemon.ini:19: malformed line"]),
+    case("[lease]", "[lease", &["daemon.ini:20: malformed line"]),
     case("[lease]", "[daemon]", &["[daemon]: given more than once; first at line 2"]),
     case("[platform]", "[limits]", &["[platform]: missing: expected section [platform]"]),
     case("; Settings", "stray = 1\n;", &["daemon.ini:1: key before the first section"]),
--- a/crates/daemon/src/control/commands.rs
+++ b/crates/daemon/src/control/commands.rs
@@ -122,6 +122,7 @@
             epoch,
             to,
             reason: MoveReason::Operator(author.into()),
+            writer: None,
         };
         match self.request_release(owner, release.clone()).await {
             Some(ReleaseReply::Started) => {}
--- a/crates/daemon/src/control/grants.rs
+++ b/crates/daemon/src/control/grants.rs
@@ -68,6 +68,7 @@
             // A target with range grants reports a shard released once its requests have finished.
             self.await_released(held).await;
             self.handle_event(Event::ShardDrained(held));
+            self.notify_planner(held);
             return;
         }
         let drained = self.owner.await_drained(held.service, held.shard);
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -61,6 +61,10 @@
                 encode(&self.updates_since(&pull))
             }
             headers::PATH_RELEASE => encode(&self.on_release(decode(frame)?)),
+            headers::PATH_RELEASED => {
+                self.on_released(decode(frame)?);
+                encode(&())
+            }
             headers::PATH_LOAD => {
                 let _: LoadRequest = decode(frame)?;
                 encode(&self.load_report())
@@ -133,11 +137,15 @@
     /// Starts the move of a shard or key that this daemon owns. With range grants, a shard's move
     /// starts with the target's next report, and single keys cannot move.
     ///
-    /// The owner itself writes the swap once the shard is drained, so that no other daemon can
-    /// write the move after the owner has cancelled it.
+    /// Unless the planner is to write the move, the owner itself writes the swap once the shard is
+    /// drained, so that no other daemon can write the move after the owner has cancelled it.
     pub(super) fn on_release(self: &Arc<Self>, message: Release) -> ReleaseReply {
         let has_range_grants = self.node.range_shard_count(message.service).is_some();
-        if !self.owns(&message) || (has_range_grants && message.key_hash.is_some()) {
+        let is_planned_key = message.writer.is_some() && !has_range_grants;
+        if !self.owns(&message)
+            || (has_range_grants && message.key_hash.is_some())
+            || is_planned_key
+        {
             return ReleaseReply::NotOwner;
         }
         self.move_reasons.lock().unwrap().record_request(&message);
@@ -149,7 +157,10 @@
                     epoch: message.epoch,
                 },
                 to: message.to,
-                by: MoveWriter::Owner,
+                by: match message.writer {
+                    Some(_) => MoveWriter::Planner,
+                    None => MoveWriter::Owner,
+                },
             },
             Some(key_hash) => Event::OverrideRequested {
                 service: message.service,
@@ -157,7 +168,10 @@
                 to: Some(message.to),
             },
         };
-        if has_range_grants {
+        if let Some(planner) = message.writer {
+            self.planned_releases.record(&message, planner);
+            self.deferred_moves.lock().unwrap().push(event);
+        } else if has_range_grants {
             self.defer_move(event);
         } else {
             self.handle_event(event);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -20,6 +20,7 @@
 //! - [`load_collection`]: collects load and versions from all daemons.
 //! - [`port`], [`commands`]: the operator port and the commands that it accepts.
 //! - [`relay`]: calls to the platform's store, directly or through a member.
+//! - [`planned_releases`]: releases of shards for moves that the planner writes.
 //! - [`planner`]: planning rounds, while this daemon is the planner.
 //!
 //! Invariants: the version of the published table and the revision of the published configuration
@@ -38,6 +39,7 @@
 pub mod load_collection;
 pub mod messages;
 pub mod move_reasons;
+pub mod planned_releases;
 pub mod planner;
 pub mod port;
 pub mod relay;
@@ -68,6 +70,7 @@
 use config_store::ConfigStore;
 use load_collection::LoadCollection;
 use move_reasons::MoveReasons;
+use planned_releases::PlannedReleases;
 use relay::Relay;
 use table_store::TableStore;
 
@@ -116,6 +119,8 @@
     grants_changed: Notify,
     /// Sequence number of the last grant.
     grant_sequence: tokio::sync::Mutex<u64>,
+    /// Moves of this owner that their planner writes.
+    planned_releases: PlannedReleases,
     /// Moves that start with the next report of the target.
     deferred_moves: Mutex<Vec<Event>>,
 }
@@ -152,6 +157,7 @@
             wake: Notify::new(),
             grants_changed: Notify::new(),
             grant_sequence: tokio::sync::Mutex::new(0),
+            planned_releases: PlannedReleases::default(),
             deferred_moves: Mutex::default(),
             node,
             peers,
--- a/crates/daemon/src/control/planner.rs
+++ b/crates/daemon/src/control/planner.rs
@@ -28,6 +28,10 @@
 /// handovers.
 const MAX_RANGES: usize = 140;
 
+/// Number of owners of shards above which the planner writes the moves of all owners. Fewer owners
+/// write their own moves, which they can cancel when the platform's store becomes unavailable.
+const MAX_OWNERS_WRITING_MOVES: usize = 8;
+
 /// Maximum number of load requests that the planner sends per second. In a larger fleet the rounds
 /// are further apart, so that the planner's traffic does not grow with the fleet. In a fleet of 108
 /// owners a report of 38 shards has about 250 bytes, and the limit for control traffic is 11 KB/s.
@@ -52,6 +56,9 @@
 
     async fn run_planner_round(self: &Arc<Self>) {
         let owners = shard_owners(&self.node.table.borrow());
+        let writer = self.session().filter(|_| {
+            owners.len() > MAX_OWNERS_WRITING_MOVES && self.node.protocol.target.grants_by_report
+        });
         let collected = self.collect_loads_of(owners).await;
         let table = self.node.table.borrow().clone();
         let mut loads = combine_loads(&table, &collected);
@@ -68,11 +75,16 @@
             ..PlanSettings::default()
         };
         let moves = planner::plan(&table, &loads, &settings);
-        if !moves.is_empty() {
-            log_planned_moves(&table, &loads, &moves);
+        if moves.is_empty() {
+            return;
+        }
+        log_planned_moves(&table, &loads, &moves);
+        if writer.is_some() && !self.reaches_store().await {
+            log::info!(moves = moves.len(); "planned moves not requested: cannot read the platform store");
+            return;
         }
         for planned in moves {
-            self.request_planned_move(&table, &planned).await;
+            self.request_planned_move(&table, &planned, writer).await;
         }
     }
 
@@ -102,10 +114,19 @@
         }
     }
 
-    async fn request_planned_move(self: &Arc<Self>, table: &Table, planned: &Move) {
+    async fn request_planned_move(
+        self: &Arc<Self>,
+        table: &Table,
+        planned: &Move,
+        writer: Option<SessionId>,
+    ) {
         let Some(release) = release_message(table, planned) else {
             return;
         };
+        let release = Release { writer, ..release };
+        if writer.is_some() {
+            self.move_reasons.lock().unwrap().record_request(&release);
+        }
         let shard = release.shard;
         let now = self.node.clock.now();
         self.pending_moves.lock().unwrap().record(now, planned);
@@ -173,6 +194,7 @@
         epoch,
         to: planned.to,
         reason,
+        writer: None,
     })
 }
 
--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -106,21 +106,37 @@
     /// reachable now; otherwise drops it. The move ends with a write to the store, and no target
     /// serves the shard from its release until then.
     pub(super) fn defer_move(self: &Arc<Self>, event: Event) {
-        let now = self.node.clock.now();
-        if now.saturating_sub(self.tables.last_reply()) < STORE_REPLY_MAX_AGE {
+        if self.is_store_reply_recent() {
             self.deferred_moves.lock().unwrap().push(event);
             return;
         }
         let control = self.clone();
         tokio::spawn(async move {
-            match control.tables.read().await {
-                Ok(_) => control.deferred_moves.lock().unwrap().push(event),
-                Err(e) => log::info!(error:% = e;
-                    "requested move not started: cannot read the platform store"),
+            if control.reaches_store().await {
+                control.deferred_moves.lock().unwrap().push(event);
+            } else {
+                log::info!("requested move not started: cannot read the platform store");
             }
         });
     }
 
+    fn is_store_reply_recent(&self) -> bool {
+        let now = self.node.clock.now();
+        now.saturating_sub(self.tables.last_reply()) < STORE_REPLY_MAX_AGE
+    }
+
+    /// Returns whether the platform's store replied recently, or replies to a read now.
+    pub(super) async fn reaches_store(&self) -> bool {
+        if self.is_store_reply_recent() {
+            return true;
+        }
+        let read = self.tables.read().await;
+        if let Err(e) = &read {
+            log::info!(error:% = e; "the platform store does not reply");
+        }
+        read.is_ok()
+    }
+
     /// Waits until the target can no longer hold the shard.
     pub(super) async fn await_released(&self, held: HeldShard) {
         if !self.node.granted_shards.is_recorded(held.shard) {
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -22,7 +22,7 @@
 
 /// Maximum number of released moves that wait for a swap. Further ones are dropped, and the owners
 /// reclaim their shards.
-const MAX_RELEASED_MOVES: usize = 256;
+const MAX_RELEASED_MOVES: usize = 1_024;
 
 /// A move that this planner requested and the owner released.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +30,8 @@
     pub held: HeldShard,
     pub from: SessionId,
     pub to: SessionId,
+    /// When this planner learned of the release.
+    pub received_at: Duration,
 }
 
 /// State of the lease core; see the [module documentation](super).
@@ -290,7 +292,12 @@
             Event::MoveReleased { held, from, to }
                 if self.released_moves.len() < MAX_RELEASED_MOVES =>
             {
-                self.released_moves.push(ReleasedMove { held, from, to });
+                self.released_moves.push(ReleasedMove {
+                    held,
+                    from,
+                    to,
+                    received_at: now,
+                });
             }
             Event::OverrideRequested {
                 service,
@@ -381,8 +388,12 @@
             return;
         };
         if self.settings.disabled_rule == Some(Rule::ReleaseFirst) {
-            self.released_moves
-                .push(ReleasedMove { held, from: me, to });
+            self.released_moves.push(ReleasedMove {
+                held,
+                from: me,
+                to,
+                received_at: Duration::ZERO,
+            });
             return;
         }
         self.begin_release(held, ReleasePurpose::Move { to, by });
--- a/crates/ownership/src/lease/schedule.rs
+++ b/crates/ownership/src/lease/schedule.rs
@@ -22,6 +22,10 @@
 /// of a lost data centre would write at once.
 const EXPECTED_SWAP_TIME: Duration = Duration::from_millis(15);
 
+/// Delay that lets the shards that several owners released share one swap of the planner. Owners
+/// release shards with reports of their targets, 0.9 s apart.
+const RELEASED_MOVES_DELAY: Duration = Duration::from_millis(100);
+
 /// Delay that lets several released shards share one swap.
 const MOVE_BATCH_DELAY: Duration = Duration::from_millis(10);
 
@@ -220,7 +224,8 @@
         let target = self.target_update_due(own);
         let target = target.then(|| self.requests.target_deadline().unwrap_or(immediately));
         let declarations = self.undeclared().next().map(|_| self.installed_at + jitter);
-        let released_moves = (!self.released_moves.is_empty()).then_some(immediately);
+        let released_moves = self.released_moves.iter().map(|m| m.received_at).min();
+        let released_moves = released_moves.map(|at| at + RELEASED_MOVES_DELAY);
         let leave = self.may_leave().then_some(immediately);
         ended_lessees
             .chain(adoptions)
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -56,6 +56,8 @@
 pub const PATH_PULL: &str = "/pull";
 /// Daemon to daemon: request to the owner to release a shard or a key for a move.
 pub const PATH_RELEASE: &str = "/release";
+/// Daemon to daemon: shards that their owner has released for moves that the planner writes.
+pub const PATH_RELEASED: &str = "/released";
 /// Daemon to daemon: request for the load of the receiver's shards and keys.
 pub const PATH_LOAD: &str = "/load";
 /// Daemon to daemon: request to a member to write the sender's join.
@@ -68,7 +70,7 @@
 /// Daemon to daemon: request to a member to read or write the table in the platform store.
 pub const PATH_STORE: &str = "/store";
 /// Paths of all control messages between daemons. [`PATH_FORWARD`] is not among them.
-pub const CONTROL_PATHS: [&str; 10] = [
+pub const CONTROL_PATHS: [&str; 11] = [
     PATH_RENEW,
     PATH_EXPIRED,
     PATH_UPDATE,
@@ -78,6 +80,7 @@
     PATH_HANDOVER,
     PATH_JOIN,
     PATH_TARGET,
+    PATH_RELEASED,
     PATH_STORE,
 ];
 /// Daemon to daemon: a forwarded request of a caller.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -194,6 +194,31 @@
     pub to: SessionId,
     /// Reason for the move.
     pub reason: MoveReason,
+    /// The planner, if it writes the moves of several owners in one swap. Otherwise the owner writes
+    /// the move.
+    pub writer: Option<SessionId>,
+}
+
+/// Tells a planner which shards an owner has released for moves that the planner writes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Released {
+    /// The owner.
+    pub from: SessionId,
+    /// The shards.
+    pub shards: Vec<ReleasedShard>,
+}
+
+/// A shard that its owner has released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleasedShard {
+    /// The service.
+    pub service: ServiceId,
+    /// The shard.
+    pub shard: ShardId,
+    /// Epoch under which the owner held the shard.
+    pub epoch: Epoch,
+    /// The next owner.
+    pub to: SessionId,
 }
 
 /// Reply to [`Release`].
