--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -141,11 +141,12 @@
     /// drained, so that no other daemon can write the move after the owner has cancelled it.
     pub(super) fn on_release(self: &Arc<Self>, message: Release) -> ReleaseReply {
         let has_range_grants = self.node.range_shard_count(message.service).is_some();
-        let is_planned_key = message.writer.is_some() && !has_range_grants;
-        if !self.owns(&message)
-            || (has_range_grants && message.key_hash.is_some())
-            || is_planned_key
-        {
+        // A planner writes moves of shards with range grants only; a key there cannot move.
+        let is_movable = match has_range_grants {
+            true => message.key_hash.is_none(),
+            false => message.writer.is_none(),
+        };
+        if !is_movable || !self.owns(&message) {
             return ReleaseReply::NotOwner;
         }
         self.move_reasons.lock().unwrap().record_request(&message);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,6 +9,7 @@
 use futures_util::FutureExt;
 use masticdeal_config::settings::Settings;
 use masticdeal_ownership::lease::{Core, CoreSettings, Event, Identity, Refusal};
+use masticdeal_platform::CallKind;
 use masticdeal_wire::peer::Reason;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -129,7 +130,7 @@
         platform.clone(),
         core,
     );
-    start_control(&control, platform);
+    start_control(&control, platform.clone());
     let handlers = peers::Handlers {
         control: control_handler(control.clone()),
         forward: owner.forward_handler(),
@@ -166,7 +167,9 @@
     if !resumes && !await_session_end(&control, LEAVE_TIMEOUT).await {
         log::warn!("session did not end within {LEAVE_TIMEOUT:?} and is still in the table");
     }
-    log::info!("stopped");
+    let calls = platform.call_counts();
+    log::info!(reads = calls.get(CallKind::Get), swaps = calls.get(CallKind::Swap),
+        watches = calls.get(CallKind::Watch); "stopped; calls to the platform store since the start");
     // Both tasks end soon after the shutdown.
     let _ = ingress_task.await;
     let _ = peer_task.await;
