Read the configuration before a watch of it is taken up again

Cause: a daemon that relied on peers for a while and then watches again continued from its old revision. The store would send every configuration since, each with its whole value, or say that the history is gone.

Change: such a daemon reads the key first.

--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -42,6 +42,13 @@
 /// Interval at which the call counters are exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Whether a daemon had to watch the configuration all the time since its last call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WatchRole {
+    Kept,
+    Regained,
+}
+
 /// Returns whether a session is one of the `count` lowest ones of its data centre.
 pub fn is_watcher(table: &Table, me: SessionId, count: usize) -> bool {
     let Some(own_session) = table.session(me) else {
@@ -122,7 +129,10 @@
     pub async fn watch_config(self: Arc<Self>, platform: Client) {
         let mut watch = KeyWatch::new(self.node.protocol.config.key);
         loop {
-            self.await_config_watch_role().await;
+            if self.await_config_watch_role().await == WatchRole::Regained {
+                // Its position is old: the store would send every configuration since.
+                watch = KeyWatch::new(self.node.protocol.config.key);
+            }
             let now = self.node.clock.now();
             let is_waiting = watch.is_positioned();
             self.config_freshness().start_call(now, is_waiting);
@@ -149,22 +159,24 @@
 
     /// Waits until this daemon has to watch the configuration: it has not joined, it is one of the
     /// watchers of its data centre, or its peers do not confirm that it has the newest one.
-    async fn await_config_watch_role(&self) {
+    async fn await_config_watch_role(&self) -> WatchRole {
         let mut table = self.node.table.subscribe();
         let mut session = self.node.session.subscribe();
+        let mut role = WatchRole::Kept;
         loop {
             let me = *session.borrow_and_update();
             let newest = table.borrow_and_update().clone();
             if me.is_none_or(|me| is_watcher(&newest, me, CONFIG_WATCHERS)) {
-                return;
+                return role;
             }
             let expires_at = self.config_freshness().expires_at();
             let left = expires_at.saturating_sub(self.node.clock.now());
             if left.is_zero() {
                 log::info!(table = newest.version, config = self.config.revision();
                     "peers do not confirm the configuration, watching it in the platform store");
-                return;
+                return role;
             }
+            role = WatchRole::Regained;
             let _ = tokio::time::timeout(left, async {
                 tokio::select! {
                     _ = table.changed() => {}
