--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -16,7 +16,6 @@
 use masticdeal_ownership::table::Table;
 use masticdeal_wire::headers;
 use masticdeal_wire::peer::{ExpiryReply, ExpiryRequest, Renew, RenewReply, Update, Versions};
-
 use serde::Serialize;
 
 use super::Control;
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -155,7 +155,7 @@
         }
         let held: BTreeSet<ShardId> = held_ranges
             .iter()
-            .flat_map(|range| overlapping_shards(range, shard_count))
+            .flat_map(|range| shards_between(range.first, range.last, shard_count))
             .collect();
         let holds = |shard: ShardId| held.contains(&shard);
         // A target that holds a shard has applied the handover for it.
@@ -286,7 +286,7 @@
         max_earlier_grant: Duration,
     ) {
         for range in held_ranges {
-            for shard in overlapping_shards(range, shard_count) {
+            for shard in shards_between(range.first, range.last, shard_count) {
                 let granted = self.granted.entry(shard).or_insert(Granted {
                     epoch: Epoch(range.epoch),
                     range_epoch: Epoch(range.epoch),
@@ -305,8 +305,7 @@
     /// Stores the handover of a released range for each shard that lies in the range completely, as
     /// far as there is room for it.
     fn record_released(&mut self, range: &ReleasedRange, shard_count: u32) {
-        let (first, last) = (range.first, range.last);
-        for shard in shards_between(first, last, shard_count) {
+        for shard in shards_between(range.first, range.last, shard_count) {
             let (first, last) = shard_key_range(shard, shard_count);
             let contains_shard = range.first <= first && last <= range.last;
             if contains_shard && self.released_handovers.len() < MAX_STORED_HANDOVERS {
@@ -416,14 +415,6 @@
     u64::from(key.rotate_left(shard_count.trailing_zeros() % u16::BITS))
 }
 
-/// Returns the shards of which a range contains any key.
-fn overlapping_shards(
-    range: &HeldRange,
-    shard_count: u32,
-) -> impl Iterator<Item = ShardId> + use<> {
-    shards_between(range.first, range.last, shard_count)
-}
-
 /// Returns the shards with any key from `first` to `last`; none if `last` is below `first`.
 fn shards_between(
     first: u16,
--- a/crates/ownership/src/lease/join.rs
+++ b/crates/ownership/src/lease/join.rs
@@ -156,12 +156,15 @@
         }
     }
 
+    /// Returns whether this process is a member that may write for others.
+    fn accepts_requests(&self, now: Duration) -> bool {
+        self.session.is_some() && self.lessee.has_valid_lease(now) && !self.writer.is_ending()
+    }
+
     pub(super) fn handle_join_request(&mut self, now: Duration, request: JoinRequest) {
-        let is_member =
-            self.session.is_some() && self.lessee.has_valid_lease(now) && !self.writer.is_ending();
         let is_same_session =
             |(_, r): &(Duration, JoinRequest)| r.incarnation == request.incarnation;
-        if is_member
+        if self.accepts_requests(now)
             && self.join_requests.len() < MAX_REQUESTS
             && !self.join_requests.iter().any(is_same_session)
         {
@@ -170,9 +173,7 @@
     }
 
     pub(super) fn handle_target_request(&mut self, now: Duration, request: TargetRequest) {
-        let is_member =
-            self.session.is_some() && self.lessee.has_valid_lease(now) && !self.writer.is_ending();
-        if is_member && self.target_requests.len() < MAX_REQUESTS {
+        if self.accepts_requests(now) && self.target_requests.len() < MAX_REQUESTS {
             self.target_requests
                 .retain(|(_, r)| r.session != request.session);
             self.target_requests.push((now, request));
--- a/crates/ownership/src/lease/writer.rs
+++ b/crates/ownership/src/lease/writer.rs
@@ -98,7 +98,7 @@
 
     /// Returns a random duration below `limit`.
     pub fn jitter(&mut self, limit: Duration) -> Duration {
-        limit.mul_f64(self.rng.random_range(0.0..1.0))
+        limit.mul_f64(self.random_fraction())
     }
 
     /// Returns a random number between 0 and 1.
