--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -545,6 +545,7 @@
     def stop(self):
         for machine in self.machines:
             machine.kill()
+        for machine in self.machines:
             machine.worker.stop()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
@@ -557,8 +558,15 @@
 
     async def main():
         deployment = Deployment(case_folder)
+        # A case that is told to end still ends its processes.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(play(deployment), 110)
+        except asyncio.CancelledError:
+            deployment.record.write("the case was told to end")
+            return 2
         except Exception as e:  # The result must say that the case could not run.
             deployment.record.write(f"the case could not run: {type(e).__name__}: {e}")
             return 2
