Keep a target out of use that left without naming its incarnation

Callers: a target that left with a message without `born` was in use again when a report that it had sent before arrived a second later.

Cause: `start_draining` remembered the incarnation that the message names, which is 0 without a body, and so remembered nothing. The state `Draining` was only in the published target, and the next report replaced it. Ruled out: the order of reports by sequence number. The late report has a new number, since the message of leaving has none. The log of the daemon showed `Ready`, `Draining`, `Ready` under the same incarnation.

Change: a message of leaving that names no incarnation means the one that the instance reported last. If the process knows no report of the instance, the first report within 3 s belongs to the one that left. The last 8 incarnations that left are remembered in place of one, so that a message of an incarnation that never reported does not replace another. A message of another instance changes nothing. A target that had expired before it left is acknowledged.

Test: `announce.rs::delayed_report_does_not_make_a_target_that_left_ready` has seven more rows. Before the change four failed: "message of leaving without an incarnation", "target expired before it left without naming its incarnation" (reply 409, then Ready), "daemon restarted before the message of leaving without an incarnation", "two incarnations left, the second without a report". The others guard against taking the next incarnation for the one that left.

--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -1,5 +1,6 @@
 //! The announce port: the target on this VM reports its address and whether it accepts requests.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -31,6 +32,15 @@
 /// silent. Delayed reports of an earlier incarnation arrive at about the same time.
 const LOWER_INCARNATION_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after a message of leaving that names no incarnation, from an instance without a report so
+/// far, in which the first report of the instance is taken for one from before the message. A target
+/// that leaves serves on for longer, so its next incarnation reports later.
+const UNNAMED_DEPARTURE_TTL: Duration = ANNOUNCE_TIMEOUT;
+
+/// Number of incarnations that have left which are remembered. Their reports are at most seconds
+/// late.
+const MAX_DEPARTED: usize = 8;
+
 /// Time without a new connection after which the age of the last announcement is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -116,9 +126,10 @@
 }
 
 /// The last accepted announcement.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct LastAnnouncement {
     address: SocketAddr,
+    instance: String,
     /// Incarnation as the target reports it.
     reported_incarnation: u64,
     /// Incarnation under which the target is published. It is higher than the reported one if the
@@ -133,9 +144,12 @@
 #[derive(Debug, Default)]
 struct KnownTarget {
     last: Option<LastAnnouncement>,
-    /// Newest incarnation that has left; 0 if none has. Its later messages were delayed, or come
-    /// from a target that does not report that it drains.
-    left_incarnation: u64,
+    /// The last [`MAX_DEPARTED`] incarnations that have left, as they report themselves. Their later
+    /// messages were delayed, or come from a target that does not report that it drains.
+    departed: VecDeque<u64>,
+    /// Instance whose message of leaving named no incarnation before any report of it arrived, and
+    /// when it arrived.
+    unnamed_departure: Option<(String, Duration)>,
     /// Highest incarnation reported.
     highest_incarnation: u64,
     /// Other incarnation that reports meanwhile, not above the highest one, and the time of its
@@ -151,7 +165,7 @@
     /// number. It replaces the last one once that has been silent for `silence`, in which its grants
     /// expire.
     fn publish_as(&mut self, now: Duration, reported: u64, silence: Duration) -> Option<u64> {
-        let Some(last) = self.last else {
+        let Some(last) = &self.last else {
             return Some(reported);
         };
         if reported == last.reported_incarnation {
@@ -170,6 +184,34 @@
         self.lower = None;
         Some(reported.max(last.incarnation + 1))
     }
+
+    /// Returns the incarnation that a message of leaving names, or that the instance reported last.
+    fn departing_incarnation(&self, instance: &str, named: u64) -> Option<u64> {
+        let last = self.last.as_ref().filter(|last| last.instance == instance);
+        let reported = last.map(|last| last.reported_incarnation);
+        Some(named).filter(|n| *n != 0).or(reported)
+    }
+
+    fn record_departure(&mut self, incarnation: u64) {
+        if incarnation == 0 || self.departed.contains(&incarnation) {
+            return;
+        }
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.departed.push_back(incarnation);
+    }
+
+    /// Returns whether the incarnation of a report has left.
+    fn has_departed(&mut self, now: Duration, instance: &str, incarnation: u64) -> bool {
+        let is_unnamed = |(unnamed, at): &mut (String, Duration)| {
+            unnamed == instance && now.saturating_sub(*at) < UNNAMED_DEPARTURE_TTL
+        };
+        if self.unnamed_departure.take_if(is_unnamed).is_some() {
+            self.record_departure(incarnation);
+        }
+        self.departed.contains(&incarnation)
+    }
 }
 
 struct AnnounceServer {
@@ -247,7 +289,7 @@
         let reported_incarnation = announce.incarnation;
         let now = self.node.clock.now();
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
-        if let Some(last) = known.last {
+        if let Some(last) = &known.last {
             let is_alive = now.saturating_sub(last.received_at) < ANNOUNCE_TIMEOUT;
             if last.address != announce.address && is_alive {
                 return Err(Error::OtherTarget(last.address));
@@ -264,38 +306,41 @@
         known.highest_incarnation = known.highest_incarnation.max(reported_incarnation);
         known.last = Some(LastAnnouncement {
             address: announce.address,
+            instance: announce.instance.clone(),
             reported_incarnation,
             incarnation: announce.incarnation,
             sequence: report.sequence,
             received_at: now,
         });
-        if reported_incarnation != 0 && reported_incarnation == known.left_incarnation {
+        if known.has_departed(now, &announce.instance, reported_incarnation) {
             announce.state = AnnouncedState::Draining;
         }
         self.set_target(Some(announce.clone()));
         Ok(report)
     }
 
-    /// Marks a target that leaves as draining. This may be the last message of its incarnation.
+    /// Marks a target that leaves as draining. This may be the last message of its incarnation, and
+    /// earlier reports may still arrive.
     fn start_draining(&self, instance: &str, incarnation: u64) -> Result<ReportReply, Error> {
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
-        let last_incarnation = known.last.map_or(0, |last| last.reported_incarnation);
-        if last_incarnation <= incarnation {
-            known.left_incarnation = incarnation;
-        }
-        let target = self.node.target.borrow().clone();
-        let Some(target) = target else {
-            let is_last = incarnation != 0 && incarnation == last_incarnation;
-            return is_last.then(ReportReply::default).ok_or(Error::Stale);
+        let Some(departing) = known.departing_incarnation(instance, incarnation) else {
+            known.unnamed_departure = Some((instance.to_owned(), self.node.clock.now()));
+            return Err(Error::Stale);
         };
-        let is_same = incarnation == 0 || incarnation == last_incarnation;
-        if target.instance != instance || !is_same {
+        known.record_departure(departing);
+        let is_last = known.last.as_ref().is_some_and(|last| {
+            last.instance == instance && last.reported_incarnation == departing
+        });
+        if !is_last {
             return Err(Error::Stale);
         }
-        self.set_target(Some(Announce {
-            state: AnnouncedState::Draining,
-            ..target
-        }));
+        let target = self.node.target.borrow().clone();
+        if let Some(target) = target {
+            self.set_target(Some(Announce {
+                state: AnnouncedState::Draining,
+                ..target
+            }));
+        }
         Ok(ReportReply::default())
     }
 
@@ -316,7 +361,7 @@
 
     fn expire_target(&self) {
         let known = self.known.lock().unwrap_or_else(|e| e.into_inner());
-        let Some(last) = known.last else { return };
+        let Some(last) = &known.last else { return };
         let now = self.node.clock.now();
         if now.saturating_sub(last.received_at) < ANNOUNCE_TIMEOUT
             || self.is_responding_unsharded(now)
--- a/crates/daemon/tests/announce.rs
+++ b/crates/daemon/tests/announce.rs
@@ -27,10 +27,15 @@
     }
 }
 
-/// Decodes `/report/INCARNATION/SEQUENCE` of a ready target and `/leave/INCARNATION`.
+/// Decodes `/report/INCARNATION/SEQUENCE` of a ready target and `/leave/INCARNATION`. The name of
+/// another instance may follow.
 fn decode(path: &str, _body: &[u8]) -> Option<std::result::Result<TargetMessage, String>> {
     let parts: Vec<&str> = path.split('/').skip(1).collect();
-    Some(Ok(match parts[..] {
+    let (parts, instance) = match parts.split_last() {
+        Some((last, rest)) if last.starts_with("i-") => (rest, *last),
+        _ => (&parts[..], INSTANCE),
+    };
+    Some(Ok(match *parts {
         ["report", incarnation, sequence] => TargetMessage::Report(Report {
             announce: Announce {
                 service: "search".into(),
@@ -39,7 +44,7 @@
                 checks_grants: true,
                 state: AnnouncedState::Ready,
                 load: None,
-                instance: INSTANCE.into(),
+                instance: instance.into(),
                 incarnation: incarnation.parse().unwrap(),
             },
             sequence: sequence.parse().unwrap(),
@@ -47,7 +52,7 @@
             released: Vec::new(),
         }),
         ["leave", incarnation] => TargetMessage::Leave {
-            instance: INSTANCE.into(),
+            instance: instance.into(),
             incarnation: incarnation.parse().unwrap(),
         },
         _ => return None,
@@ -139,6 +144,63 @@
             ],
             expected: (AnnouncedState::Ready, 8),
         },
+        Case {
+            name: "message of leaving without an incarnation",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (900, "/leave/0", 200),
+                (1_900, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "next incarnation of an instance that left without naming one",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (900, "/leave/0", 200),
+                (1_900, "/report/7/2", 200),
+                (2_000, "/report/8/1", 200),
+            ],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "target expired before it left without naming its incarnation",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (4_000, "/leave/0", 200),
+                (4_100, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "daemon restarted before the message of leaving without an incarnation",
+            messages: &[(0, "/leave/0", 409), (2_000, "/report/7/2", 200)],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "next incarnation after an unknown one that left",
+            messages: &[(0, "/leave/0", 409), (3_000, "/report/8/1", 200)],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "message of leaving of another instance",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (100, "/leave/0/i-2", 409),
+                (200, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Ready, 7),
+        },
+        Case {
+            name: "two incarnations left, the second without a report",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (100, "/leave/7", 200),
+                (200, "/leave/8", 409),
+                (300, "/report/7/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
     ];
     for c in cases {
         let port = Port::start().await;
