Record departures of targets in the table, beyond sessions and processes

What ran when the target exited was lost.

Cause: which incarnation had left was known only to the process that acknowledged it. The reviewer's guess that the table shows it holds only while the session of the killed process is in the table (a lease, 3 s), only for the state `Draining`, which an operator's drain and a stopping daemon set as well, and not after the target went silent (`Away`). A fix that reads the predecessor's entry at the join would have left the cases below with an ended session red.

Change: the table lists departures (address of the daemon, incarnation), at most one an address and 512 in all. They outlive the session, and end when a higher incarnation is in service. A target that reports its departure has the state `Departing`; a join, a first entry of a target and the core's own entry take that state from the list, so the table never shows a departed incarnation as ready (asserted in the checker). A process that heard of the departure itself knows the order of its reports, and lets the target return as before. The announce port marks the target as draining when a report or a newer table shows it. The message of leaving is acknowledged once the table shows the departure (at most 750 ms, then 503), since a kill right after the ack would lose it otherwise; a first report of draining waits as long, but is answered in any case, since later reports repeat it. A stored table without departures is encoded as before.

Related paths: heartbeat, deregister with and without a body, draining, join by a member or by itself, first entry of a target, ended session, stopped daemon. A restored store keeps the list, since members write their newest table back.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -182,6 +182,13 @@
     }
 }
 
+impl Listen {
+    /// Returns the address under which other daemons reach the peer port.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers_advertised.unwrap_or(self.peers)
+    }
+}
+
 impl Default for Listen {
     fn default() -> Self {
         Self {
--- a/crates/config/src/settings_parser.rs
+++ b/crates/config/src/settings_parser.rs
@@ -302,7 +302,7 @@
 /// those that the target or other daemons cannot connect to.
 fn check_addresses(settings: &Settings, reader: &mut SectionReader<'_, '_>) {
     let listen = &settings.listen;
-    let vm_ip = listen.peers_advertised.unwrap_or(listen.peers).ip();
+    let vm_ip = listen.peer_address().ip();
     if !listen.announce.ip().is_loopback() && listen.announce.ip() != vm_ip {
         let message = format!(
             "{} is not a loopback address such as 127.0.0.1",
--- a/crates/daemon/src/control/config_restoration.rs
+++ b/crates/daemon/src/control/config_restoration.rs
@@ -69,8 +69,7 @@
     /// Pulls the configuration from each member that has a newer one than revision `stored`, until
     /// the table of this era of the store shows all members.
     async fn pull_newer_config(self: &Arc<Self>, stored: u64, era: u64) {
-        let listen = &self.node.settings.listen;
-        let own_address = listen.peers_advertised.unwrap_or(listen.peers);
+        let own_address = self.node.settings.listen.peer_address();
         let mut asked = BTreeSet::from([own_address]);
         loop {
             let table = self.tables.read().await;
--- a/crates/daemon/src/control/restoration.rs
+++ b/crates/daemon/src/control/restoration.rs
@@ -33,10 +33,7 @@
 
     async fn pull_from_seeds(self: &Arc<Self>) -> CollectionReplies {
         let settings = &self.node.settings;
-        let own_address = settings
-            .listen
-            .peers_advertised
-            .unwrap_or(settings.listen.peers);
+        let own_address = settings.listen.peer_address();
         let seeds = settings.daemon.seeds.iter();
         let others = seeds.filter(|seed| **seed != own_address);
         let replied = join_all(others.map(|seed| self.pull_from_seed(*seed))).await;
--- a/crates/daemon/src/control/target.rs
+++ b/crates/daemon/src/control/target.rs
@@ -111,7 +111,7 @@
     pub(super) fn target_report(&self, announce: &Announce, capacity: u32) -> TargetReport {
         let state = match announce.state {
             AnnouncedState::Starting => TargetState::Away,
-            AnnouncedState::Draining => TargetState::Draining,
+            AnnouncedState::Draining => TargetState::Departing,
             AnnouncedState::Ready if self.is_set_to_drain() => TargetState::Draining,
             AnnouncedState::Ready => TargetState::Ready,
         };
--- a/crates/daemon/src/operators/from_delta.rs
+++ b/crates/daemon/src/operators/from_delta.rs
@@ -267,7 +267,7 @@
     match target.map(|t| t.state) {
         None => TargetLabel::Absent,
         Some(TargetState::Ready) => TargetLabel::Ready,
-        Some(TargetState::Draining) => TargetLabel::Draining,
+        Some(TargetState::Draining | TargetState::Departing) => TargetLabel::Draining,
         Some(TargetState::Away) => TargetLabel::Away,
     }
 }
--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -37,6 +37,9 @@
 /// that leaves serves on for longer, so its next incarnation reports later.
 const UNNAMED_DEPARTURE_TTL: Duration = ANNOUNCE_TIMEOUT;
 
+/// Longest wait until the table shows that a target leaves. A target waits 1 s for a reply.
+const DEPARTURE_WRITE_TIMEOUT: Duration = Duration::from_millis(750);
+
 /// Number of incarnations that have left which are remembered. Their reports are at most seconds
 /// late.
 const MAX_DEPARTED: usize = 8;
@@ -76,6 +79,8 @@
     ConflictsWithSettings,
     /// a newer life of the target, or a later report of this one, is known
     Stale,
+    /// the departure is not in the assignment table yet
+    DepartureNotWritten,
 }
 
 impl std::error::Error for Error {}
@@ -91,9 +96,14 @@
         known: Mutex::default(),
     });
     let connection_limit = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut table = server.node.table.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            Ok(()) = table.changed() => {
+                server.apply_recorded_departure();
+                continue;
+            }
             () = sleep(CHECK_INTERVAL) => {
                 server.expire_target();
                 continue;
@@ -128,13 +138,11 @@
 /// The last accepted announcement.
 #[derive(Debug, Clone)]
 struct LastAnnouncement {
-    address: SocketAddr,
-    instance: String,
+    /// The announcement as published. Its incarnation is higher than the reported one if the
+    /// target's clock stepped back before its start.
+    announce: Announce,
     /// Incarnation as the target reports it.
     reported_incarnation: u64,
-    /// Incarnation under which the target is published. It is higher than the reported one if the
-    /// target's clock stepped back before its start.
-    incarnation: u64,
     sequence: u64,
     /// When it was received, as time since boot.
     received_at: Duration,
@@ -150,6 +158,9 @@
     /// Instance whose message of leaving named no incarnation before any report of it arrived, and
     /// when it arrived.
     unnamed_departure: Option<(String, Duration)>,
+    /// Last incarnation whose departure was reported to this process; 0 if none was. This process
+    /// knows which of its reports are later, so the target may become ready again.
+    draining_incarnation: u64,
     /// Highest incarnation reported.
     highest_incarnation: u64,
     /// Other incarnation that reports meanwhile, not above the highest one, and the time of its
@@ -170,7 +181,7 @@
         };
         if reported == last.reported_incarnation {
             self.lower = None;
-            return Some(last.incarnation);
+            return Some(last.announce.incarnation);
         }
         if reported <= self.highest_incarnation {
             let known = self.lower.filter(|(lower, _)| *lower == reported);
@@ -182,12 +193,13 @@
             }
         }
         self.lower = None;
-        Some(reported.max(last.incarnation + 1))
+        Some(reported.max(last.announce.incarnation + 1))
     }
 
     /// Returns the incarnation that a message of leaving names, or that the instance reported last.
     fn departing_incarnation(&self, instance: &str, named: u64) -> Option<u64> {
-        let last = self.last.as_ref().filter(|last| last.instance == instance);
+        let last = self.last.as_ref();
+        let last = last.filter(|last| last.announce.instance == instance);
         let reported = last.map(|last| last.reported_incarnation);
         Some(named).filter(|n| *n != 0).or(reported)
     }
@@ -234,9 +246,11 @@
         let Some(message) = (self.node.protocol.target.decode)(&path, &body) else {
             return text_response(StatusCode::NOT_FOUND, String::new());
         };
-        let result = message
-            .map_err(Error::Malformed)
-            .and_then(|message| self.handle_message(message));
+        let message = message.map_err(Error::Malformed);
+        let result = match message {
+            Ok(message) => self.handle_message(message).await,
+            Err(e) => Err(e),
+        };
         match result {
             Ok(reply) => report_response(self.node.protocol.target.encode, &reply),
             Err(e) => {
@@ -245,6 +259,7 @@
                     Error::OtherTarget(_) | Error::ConflictsWithSettings | Error::Stale => {
                         StatusCode::CONFLICT
                     }
+                    Error::DepartureNotWritten => StatusCode::SERVICE_UNAVAILABLE,
                     _ => StatusCode::BAD_REQUEST,
                 };
                 text_response(status, e.to_string())
@@ -252,17 +267,86 @@
         }
     }
 
-    fn handle_message(&self, message: TargetMessage) -> Result<ReportReply, Error> {
+    /// Handles a message and returns the reply. The first reply to a target that leaves waits until
+    /// the table shows the departure, so that the next process of this daemon knows of it. Later
+    /// reports of a draining target repeat the state, but the message of leaving is the last one, so
+    /// it is acknowledged only then.
+    async fn handle_message(&self, message: TargetMessage) -> Result<ReportReply, Error> {
         match message {
             TargetMessage::Report(report) => {
                 self.validate(&report)?;
+                let was_draining = self.is_draining();
                 let report = self.publish(report)?;
-                Ok((self.report_handler)(&report))
+                let reply = (self.report_handler)(&report);
+                if self.is_draining() && !was_draining {
+                    self.await_departure(report.announce.incarnation).await;
+                }
+                Ok(reply)
             }
             TargetMessage::Leave {
                 instance,
                 incarnation,
-            } => self.start_draining(&instance, incarnation),
+            } => {
+                let published = self.start_draining(&instance, incarnation)?;
+                match self.await_departure(published).await {
+                    true => Ok(ReportReply::default()),
+                    false => Err(Error::DepartureNotWritten),
+                }
+            }
+        }
+    }
+
+    fn is_draining(&self) -> bool {
+        let target = self.node.target.borrow();
+        let state = target.as_ref().map(|t| t.state);
+        state == Some(AnnouncedState::Draining)
+    }
+
+    /// Waits until the table shows the departure of the target. Returns `false` after
+    /// [`DEPARTURE_WRITE_TIMEOUT`]. The departure of a target without an incarnation is not recorded.
+    async fn await_departure(&self, incarnation: u64) -> bool {
+        if incarnation == 0 {
+            return true;
+        }
+        let address = self.node.settings.listen.peer_address();
+        let mut table = self.node.table.subscribe();
+        let is_recorded = table.wait_for(|t| t.has_departed(address, incarnation));
+        let result = tokio::time::timeout(DEPARTURE_WRITE_TIMEOUT, is_recorded).await;
+        let is_recorded = matches!(result, Ok(Ok(_)));
+        let table = self.node.versions().table;
+        if is_recorded {
+            log::info!(life = incarnation, table; "the table shows that the target leaves");
+        } else {
+            log::warn!(life = incarnation, table;
+                "the table does not show after {DEPARTURE_WRITE_TIMEOUT:?} that the target leaves");
+        }
+        is_recorded
+    }
+
+    /// Returns whether the table shows that the target left, and only an earlier process of this
+    /// daemon knew of it.
+    fn is_recorded_departure(&self, known: &KnownTarget, incarnation: u64) -> bool {
+        let reported = known.last.as_ref().map_or(0, |l| l.reported_incarnation);
+        let address = self.node.settings.listen.peer_address();
+        known.draining_incarnation != reported
+            && self.node.table.borrow().has_departed(address, incarnation)
+    }
+
+    /// Marks the target as draining if the newest table shows that it left before this process
+    /// started.
+    fn apply_recorded_departure(&self) {
+        let known = self.known.lock().unwrap_or_else(|e| e.into_inner());
+        let target = self.node.target.borrow().clone();
+        let Some(target) = target.filter(|t| t.state != AnnouncedState::Draining) else {
+            return;
+        };
+        if self.is_recorded_departure(&known, target.incarnation) {
+            log::info!(life = target.incarnation, table = self.node.versions().table;
+                "the target left before this process started");
+            self.set_target(Some(Announce {
+                state: AnnouncedState::Draining,
+                ..target
+            }));
         }
     }
 
@@ -291,8 +375,9 @@
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(last) = &known.last {
             let is_alive = now.saturating_sub(last.received_at) < ANNOUNCE_TIMEOUT;
-            if last.address != announce.address && is_alive {
-                return Err(Error::OtherTarget(last.address));
+            let address = last.announce.address;
+            if address != announce.address && is_alive {
+                return Err(Error::OtherTarget(address));
             }
             let is_same_incarnation =
                 last.reported_incarnation == reported_incarnation && reported_incarnation != 0;
@@ -305,43 +390,50 @@
         announce.incarnation = incarnation.ok_or(Error::Stale)?;
         known.highest_incarnation = known.highest_incarnation.max(reported_incarnation);
         known.last = Some(LastAnnouncement {
-            address: announce.address,
-            instance: announce.instance.clone(),
+            announce: announce.clone(),
             reported_incarnation,
-            incarnation: announce.incarnation,
             sequence: report.sequence,
             received_at: now,
         });
-        if known.has_departed(now, &announce.instance, reported_incarnation) {
+        if announce.state == AnnouncedState::Draining {
+            known.draining_incarnation = reported_incarnation;
+        } else if known.has_departed(now, &announce.instance, reported_incarnation)
+            || self.is_recorded_departure(&known, announce.incarnation)
+        {
+            log::info!(life = announce.incarnation, sequence = report.sequence;
+                "report of a target that has left");
             announce.state = AnnouncedState::Draining;
         }
         self.set_target(Some(announce.clone()));
         Ok(report)
     }
 
-    /// Marks a target that leaves as draining. This may be the last message of its incarnation, and
-    /// earlier reports may still arrive.
-    fn start_draining(&self, instance: &str, incarnation: u64) -> Result<ReportReply, Error> {
+    /// Marks a target that leaves as draining, and returns the incarnation under which it is
+    /// published. This may be the last message of its incarnation, and earlier reports may still
+    /// arrive.
+    fn start_draining(&self, instance: &str, incarnation: u64) -> Result<u64, Error> {
+        let now = self.node.clock.now();
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
         let Some(departing) = known.departing_incarnation(instance, incarnation) else {
-            known.unnamed_departure = Some((instance.to_owned(), self.node.clock.now()));
+            known.unnamed_departure = Some((instance.to_owned(), now));
             return Err(Error::Stale);
         };
         known.record_departure(departing);
-        let is_last = known.last.as_ref().is_some_and(|last| {
-            last.instance == instance && last.reported_incarnation == departing
-        });
-        if !is_last {
+        let is_departing = |last: &&mut LastAnnouncement| {
+            last.announce.instance == instance && last.reported_incarnation == departing
+        };
+        let Some(last) = known.last.as_mut().filter(is_departing) else {
             return Err(Error::Stale);
-        }
-        let target = self.node.target.borrow().clone();
-        if let Some(target) = target {
-            self.set_target(Some(Announce {
-                state: AnnouncedState::Draining,
-                ..target
-            }));
-        }
-        Ok(ReportReply::default())
+        };
+        last.received_at = now;
+        let target = Announce {
+            state: AnnouncedState::Draining,
+            ..last.announce.clone()
+        };
+        let published = target.incarnation;
+        known.draining_incarnation = departing;
+        self.set_target(Some(target));
+        Ok(published)
     }
 
     fn set_target(&self, target: Option<Announce>) {
@@ -369,7 +461,7 @@
             return;
         }
         if self.node.target.borrow().is_some() {
-            log::warn!(target:% = last.address;
+            log::warn!(target:% = last.announce.address;
                 "no announcement for {ANNOUNCE_TIMEOUT:?}; the target is unavailable");
             self.set_target(None);
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -208,11 +208,10 @@
 
 fn identity(settings: &Settings, bound_at: Duration) -> Identity {
     let daemon = &settings.daemon;
-    let listen = &settings.listen;
     Identity {
         incarnation: rand::random(),
         vm: daemon.name.clone(),
-        address: listen.peers_advertised.unwrap_or(listen.peers),
+        address: settings.listen.peer_address(),
         region: daemon.region.clone(),
         data_centre: daemon.data_centre.clone(),
         bound_at,
--- a/crates/daemon/tests/announce.rs
+++ b/crates/daemon/tests/announce.rs
@@ -9,12 +9,14 @@
 
 use common::{LOOPBACK_ANY_PORT, call, request, settings};
 use googletest::prelude::*;
+use masticdeal_ownership::table::{Departure, Table};
 use masticdeal_wire::target::{Announce, AnnouncedState, Report, ReportReply};
 use masticdeald::clock::Clock;
 use masticdeald::node::Node;
 use masticdeald::owner;
 use masticdeald::protocol::TargetMessage;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 const INSTANCE: &str = "i-1";
 
@@ -27,8 +29,8 @@
     }
 }
 
-/// Decodes `/report/INCARNATION/SEQUENCE` of a ready target and `/leave/INCARNATION`. The name of
-/// another instance may follow.
+/// Decodes `/report/INCARNATION/SEQUENCE` of a ready target, `/drain/INCARNATION/SEQUENCE` of a
+/// draining one, and `/leave/INCARNATION`. The name of another instance may follow.
 fn decode(path: &str, _body: &[u8]) -> Option<std::result::Result<TargetMessage, String>> {
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     let (parts, instance) = match parts.split_last() {
@@ -36,13 +38,16 @@
         _ => (&parts[..], INSTANCE),
     };
     Some(Ok(match *parts {
-        ["report", incarnation, sequence] => TargetMessage::Report(Report {
+        [state @ ("report" | "drain"), incarnation, sequence] => TargetMessage::Report(Report {
             announce: Announce {
                 service: "search".into(),
                 address: "127.0.0.1:9".parse().unwrap(),
                 slots: 2,
                 checks_grants: true,
-                state: AnnouncedState::Ready,
+                state: match state {
+                    "drain" => AnnouncedState::Draining,
+                    _ => AnnouncedState::Ready,
+                },
                 load: None,
                 instance: instance.into(),
                 incarnation: incarnation.parse().unwrap(),
@@ -65,8 +70,38 @@
     address: SocketAddr,
 }
 
+/// Records departures of the target in the table, as the control plane does.
+async fn record_departures(node: Arc<Node>) {
+    let mut target = node.target.subscribe();
+    loop {
+        let draining = target.borrow_and_update().clone();
+        let draining = draining.filter(|t| t.state == AnnouncedState::Draining);
+        if let Some(target) = draining {
+            publish_departure(&node, target.incarnation);
+        }
+        target.changed().await.unwrap();
+    }
+}
+
+fn publish_departure(node: &Node, incarnation: u64) {
+    let table = Table {
+        departures: vec![Departure {
+            address: node.settings.listen.peer_address(),
+            incarnation,
+        }],
+        ..Table::default()
+    };
+    node.table.send_replace(Arc::new(table));
+}
+
 impl Port {
     async fn start() -> Self {
+        let port = Self::start_without_control_plane().await;
+        tokio::spawn(record_departures(port.node.clone()));
+        port
+    }
+
+    async fn start_without_control_plane() -> Self {
         let clock = Arc::new(ManualClock::default());
         let may_serve = Box::new(|_, _, _| unreachable!());
         let mut node = Node::new(settings(|_| {}), clock.clone(), may_serve);
@@ -220,6 +255,92 @@
     }
 }
 
+/// Guards against a target that left while an earlier process of the daemon ran, and is in use again
+/// by a report from before it left.
+#[gtest]
+#[tokio::test]
+async fn departure_known_from_the_table_outweighs_a_report() {
+    enum Step {
+        Message(&'static str),
+        TableWithDepartureOf(u64),
+    }
+    use Step::{Message, TableWithDepartureOf};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        expected: (AnnouncedState, u64),
+    }
+    let cases = [
+        Case {
+            name: "report after the table",
+            steps: &[TableWithDepartureOf(7), Message("/report/7/2")],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "report before the table",
+            steps: &[Message("/report/7/2"), TableWithDepartureOf(7)],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "several reports",
+            steps: &[
+                TableWithDepartureOf(7),
+                Message("/report/7/2"),
+                Message("/report/7/3"),
+            ],
+            expected: (AnnouncedState::Draining, 7),
+        },
+        Case {
+            name: "next incarnation",
+            steps: &[
+                TableWithDepartureOf(7),
+                Message("/report/7/2"),
+                Message("/report/8/1"),
+            ],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "target that drains and returns, known to this process",
+            steps: &[
+                Message("/report/7/1"),
+                Message("/drain/7/2"),
+                TableWithDepartureOf(7),
+                Message("/report/7/3"),
+            ],
+            expected: (AnnouncedState::Ready, 7),
+        },
+    ];
+    for c in cases {
+        let port = Port::start_without_control_plane().await;
+        for step in c.steps {
+            match step {
+                Message(path) => {
+                    expect_that!(port.send(0, path).await, eq(200), "{}: {path}", c.name);
+                }
+                TableWithDepartureOf(incarnation) => publish_departure(&port.node, *incarnation),
+            }
+        }
+        let is_expected = || port.target() == Some(c.expected);
+        let reached = timeout(Duration::from_secs(1), common::wait_until(is_expected)).await;
+        expect_that!(reached, ok(anything()), "{}: {:?}", c.name, port.target());
+    }
+}
+
+/// Guards against a departure that is acknowledged and lost with the process, because the table does
+/// not show it.
+#[gtest]
+#[tokio::test]
+async fn message_of_leaving_is_acknowledged_once_the_table_shows_it() {
+    let port = Port::start_without_control_plane().await;
+    expect_that!(port.send(0, "/report/7/1").await, eq(200));
+    expect_that!(port.send(100, "/leave/7").await, eq(503));
+    expect_that!(port.target(), some(eq((AnnouncedState::Draining, 7))));
+    tokio::spawn(record_departures(port.node.clone()));
+    expect_that!(port.send(1_000, "/leave/7").await, eq(200));
+    let departed = port.node.table.borrow().departures.len();
+    expect_that!(departed, eq(1));
+}
+
 /// Guards against a restarted target whose reports are refused because its wall clock stepped back,
 /// and against a delayed report of an earlier incarnation that replaces the present one.
 #[gtest]
--- a/crates/ownership/src/apply.rs
+++ b/crates/ownership/src/apply.rs
@@ -3,13 +3,16 @@
 //! The result depends only on the table and the change, so every daemon derives the same table from
 //! the same delta. A delta is applied completely or rejected.
 
+use std::net::SocketAddr;
+
 use displaydoc::Display;
 
 use crate::change::{Change, Delta};
 use crate::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId, shard_of};
 use crate::table::{
-    KeyOverride, MAX_NAME_BYTES, MAX_OVERRIDES, MAX_RECENT_CHANGES, MAX_SERVICES, MAX_SESSIONS,
-    MAX_SHARDS, Service, Session, Shard, Table,
+    Departure, KeyOverride, MAX_DEPARTURES, MAX_NAME_BYTES, MAX_OVERRIDES, MAX_RECENT_CHANGES,
+    MAX_SERVICES, MAX_SESSIONS, MAX_SHARDS, Service, Session, Shard, Table, TargetInfo,
+    TargetState,
 };
 
 /// Why a delta or one of its changes cannot be applied to the table.
@@ -116,7 +119,10 @@
                 if let Some(target) = target {
                     self.service_mut(target.service)?;
                 }
-                self.session_mut(*session)?.target = target.clone();
+                let own = self.session_mut(*session)?;
+                own.target = target.clone();
+                let address = own.address;
+                self.record_departure(address, target.as_ref());
                 Ok(())
             }
             Change::DeclareService { name, shards } => self.declare_service(name, *shards),
@@ -174,6 +180,7 @@
         if let Some(target) = &session.target {
             self.service_mut(target.service)?;
         }
+        self.record_departure(session.address, session.target.as_ref());
         self.next_session += 1;
         self.sessions.push(Session {
             id,
@@ -182,6 +189,30 @@
         Ok(())
     }
 
+    /// Updates the departures after the target beside the daemon at `address` has changed. A target
+    /// in service replaces the departure of an earlier incarnation, and its own.
+    fn record_departure(&mut self, address: SocketAddr, target: Option<&TargetInfo>) {
+        let Some(target) = target.filter(|t| t.incarnation != 0) else {
+            return;
+        };
+        let is_superseded =
+            |d: &Departure| d.address == address && d.incarnation <= target.incarnation;
+        match target.state {
+            TargetState::Ready => self.departures.retain(|d| !is_superseded(d)),
+            TargetState::Departing => {
+                self.departures.retain(|d| d.address != address);
+                if self.departures.len() >= MAX_DEPARTURES {
+                    self.departures.remove(0);
+                }
+                self.departures.push(Departure {
+                    address,
+                    incarnation: target.incarnation,
+                });
+            }
+            TargetState::Draining | TargetState::Away => {}
+        }
+    }
+
     fn check_lessors(&self, lessee: SessionId, lessors: &[SessionId]) -> Result<()> {
         let distinct = lessors.len() < 2 || lessors[0] != lessors[1];
         let known = lessors
--- a/crates/ownership/src/checker.rs
+++ b/crates/ownership/src/checker.rs
@@ -8,7 +8,10 @@
 
 use crate::ids::{Epoch, ServiceId, SessionId, ShardId};
 use crate::lease::Core;
-use crate::table::{MAX_OVERRIDES, MAX_RECENT_CHANGES, MAX_SHARDS, Session, Shard, Table};
+use crate::table::{
+    MAX_DEPARTURES, MAX_OVERRIDES, MAX_RECENT_CHANGES, MAX_SHARDS, Session, Shard, Table,
+    TargetInfo, TargetState,
+};
 
 /// A violated invariant.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
@@ -21,6 +24,8 @@
     DuplicateAddress(SessionId),
     /// shard {1} of service {0} belongs to a session that is not in the table
     UnknownOwner(ServiceId, ShardId),
+    /// target of session {0} is in service after its departure
+    DepartedTarget(SessionId),
     /// limit on {0} is exceeded
     LimitExceeded(&'static str),
     /// version decreased from {0} to {1}
@@ -67,6 +72,19 @@
     if table.recent_changes.len() > MAX_RECENT_CHANGES {
         return Err(Violation::LimitExceeded("recent changes"));
     }
+    if table.departures.len() > MAX_DEPARTURES {
+        return Err(Violation::LimitExceeded("departures"));
+    }
+    for departure in &table.departures {
+        let session = addresses.get(&departure.address);
+        let target = session.and_then(|id| table.session(*id)?.target.as_ref());
+        let is_in_service = |t: &&TargetInfo| {
+            t.state == TargetState::Ready && t.incarnation == departure.incarnation
+        };
+        if let Some((id, _)) = session.zip(target.filter(is_in_service)) {
+            return Err(Violation::DepartedTarget(*id));
+        }
+    }
     check_epochs(table)?;
     check_owners(table)
 }
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -18,7 +18,7 @@
 use crate::chart::{SESSION_CHART, StateMachine};
 use crate::ids::{Epoch, ServiceId, SessionId, ShardId};
 use crate::journal::{Decision, DecisionKind, Rejection};
-use crate::table::Table;
+use crate::table::{Table, TargetState};
 
 /// Maximum number of released moves that wait for a swap. Further ones are dropped, and the owners
 /// reclaim their shards.
@@ -50,6 +50,9 @@
     pub(super) releases: Releases,
     pub(super) released_moves: Vec<ReleasedMove>,
     pub(super) target: Option<TargetReport>,
+    /// Incarnation of the target whose departure was reported to this process; 0 if none was. This
+    /// process knows the order of its reports, so the target may return to service.
+    reported_departure: u64,
     pub(super) declared: Vec<DeclaredService>,
     pub(super) leaving: bool,
     /// Sessions that an operator confirmed as lost.
@@ -113,6 +116,7 @@
             releases: Releases::default(),
             released_moves: Vec::new(),
             target: None,
+            reported_departure: 0,
             declared: Vec::new(),
             leaving: false,
             confirmed_lost: Vec::new(),
@@ -270,7 +274,12 @@
             // A late event: the earlier incarnation has ended.
             return;
         }
+        let is_departing = |t: &TargetReport| t.state == TargetState::Departing;
+        if target.as_ref().is_some_and(is_departing) {
+            self.reported_departure = incarnation;
+        }
         self.target = target;
+        self.apply_departure();
         if incarnation == 0 || previous == 0 || incarnation == previous {
             return;
         }
@@ -280,6 +289,18 @@
         }
     }
 
+    /// Keeps a target out of service whose departure was reported to an earlier process of this
+    /// daemon. The report that shows it as ready may date from before the departure.
+    pub(super) fn apply_departure(&mut self) {
+        let address = self.identity.address;
+        if let Some(target) = &mut self.target
+            && target.incarnation != self.reported_departure
+            && self.table.has_departed(address, target.incarnation)
+        {
+            target.state = TargetState::Departing;
+        }
+    }
+
     /// Handles the events of moves and key overrides.
     fn dispatch_move(&mut self, now: Duration, event: Event) {
         match event {
--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -99,6 +99,7 @@
         let resolution = self.writer.resolve(&table);
         let pending = resolution.and_then(|_| self.writer.take_pending());
         self.install_session(now);
+        self.apply_departure();
         if let Some(pending) = pending {
             self.lessee.next_lessors = None;
             if resolution == Some(Resolution::Lost) && !pending.needs_read_back {
--- a/crates/ownership/src/lease/join.rs
+++ b/crates/ownership/src/lease/join.rs
@@ -15,6 +15,7 @@
 //! A member writes a requested target only if the table has no entry for it yet. A request that is
 //! written late therefore never replaces a newer state of the target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::api::{Effect, JoinRequest, TargetReport, TargetRequest};
@@ -24,7 +25,7 @@
 use crate::ids::SessionId;
 use crate::journal::DecisionKind;
 use crate::lessor_selection::{self, Location};
-use crate::table::{Session, Table, TargetInfo};
+use crate::table::{Session, Table, TargetInfo, TargetState};
 
 /// Time after which a process whose request is still pending writes the change itself.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -215,7 +216,9 @@
             if session.is_none_or(|s| s.target.is_some()) {
                 continue;
             }
-            let Some(target) = target_info(&proposal.table, &request.target) else {
+            let address = session.map(|s| s.address);
+            let target = address.and_then(|a| target_info(&proposal.table, a, &request.target));
+            let Some(target) = target else {
                 continue;
             };
             let change = Change::SetTarget {
@@ -284,7 +287,7 @@
             target: request
                 .target
                 .as_ref()
-                .and_then(|report| target_info(&proposal.table, report)),
+                .and_then(|report| target_info(&proposal.table, request.address, report)),
         };
         let (id, vm) = (location.id, request.vm.clone());
         let joined = proposal.push(
@@ -300,12 +303,18 @@
     }
 }
 
-fn target_info(table: &Table, report: &TargetReport) -> Option<TargetInfo> {
+/// Returns the first entry of the target beside the daemon at `address`. A departure that the table
+/// shows was reported to an earlier process.
+fn target_info(table: &Table, address: SocketAddr, report: &TargetReport) -> Option<TargetInfo> {
+    let state = match table.has_departed(address, report.incarnation) {
+        true => TargetState::Departing,
+        false => report.state,
+    };
     Some(TargetInfo {
         service: table.service_id(&report.service)?,
         slots: report.slots,
         checks_grants: report.checks_grants,
-        state: report.state,
+        state,
         capacity: report.capacity,
         incarnation: report.incarnation,
     })
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -29,6 +29,9 @@
 /// Maximum size of the encoded table in bytes; the platform store accepts no larger value.
 pub const MAX_TABLE_BYTES: usize = 1 << 20;
 
+/// Maximum number of departures that the table keeps.
+pub const MAX_DEPARTURES: usize = 512;
+
 /// Number of change ids that the table keeps. A daemon whose swap got no reply looks for its change
 /// id among them to find out whether the swap took effect.
 pub const MAX_RECENT_CHANGES: usize = 128;
@@ -49,6 +52,18 @@
     /// Era of the platform store in which the table was last written: the number of times that the
     /// store had been restored from a backup.
     pub era: u64,
+    /// Targets that have announced that they leave, at most one for each address, oldest first.
+    pub departures: Vec<Departure>,
+}
+
+/// The departure of a target. It outlives the session, so that a daemon that restarts beside the
+/// target does not take it back on a report from before the departure.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Address of the peer port of the daemon beside the target.
+    pub address: SocketAddr,
+    /// Incarnation of the target.
+    pub incarnation: u64,
 }
 
 /// The session of one daemon process.
@@ -103,6 +118,8 @@
     Draining,
     /// Unavailable, for example because it stopped responding.
     Away,
+    /// Has announced that it leaves; otherwise like [`TargetState::Draining`].
+    Departing,
 }
 
 /// A service with its shards.
@@ -156,6 +173,15 @@
     pub fn service(&self, id: ServiceId) -> Option<&Service> {
         self.services.get(id.index())
     }
+
+    /// Returns whether this incarnation of the target beside a daemon has announced that it leaves.
+    pub fn has_departed(&self, address: SocketAddr, incarnation: u64) -> bool {
+        let departure = Departure {
+            address,
+            incarnation,
+        };
+        self.departures.contains(&departure)
+    }
 }
 
 impl Service {
@@ -182,6 +208,10 @@
 /// era 0 has neither. No integer starts with this byte, and a table of era 0 starts with one.
 const ERA_MARKER: u8 = 255;
 
+/// First byte of a stored table with departures, followed by these and the rest of the table. No
+/// 64-bit integer starts with this byte.
+const DEPARTURES_MARKER: u8 = 254;
+
 /// Fields of a stored table that follow the era.
 #[derive(Serialize)]
 struct StoredFields<'a> {
@@ -211,7 +241,13 @@
         0 => bincode::serde::encode_to_vec(&fields, config),
         era => bincode::serde::encode_to_vec((ERA_MARKER, era, &fields), config),
     };
-    let bytes = encoded.map_err(|e| CodecError::Malformed(e.to_string()))?;
+    let mut bytes = encoded.map_err(|e| CodecError::Malformed(e.to_string()))?;
+    if !table.departures.is_empty() {
+        let prefix = (DEPARTURES_MARKER, &table.departures);
+        let prefix = bincode::serde::encode_to_vec(prefix, config);
+        let prefix = prefix.map_err(|e| CodecError::Malformed(e.to_string()))?;
+        bytes.splice(0..0, prefix);
+    }
     if bytes.len() > MAX_TABLE_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
@@ -228,6 +264,13 @@
     if bytes.len() > MAX_TABLE_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
+    let (departures, bytes) = match bytes.split_first() {
+        Some((&DEPARTURES_MARKER, rest)) => {
+            let (departures, used) = decode_prefix(rest)?;
+            (departures, &rest[used..])
+        }
+        _ => (Vec::new(), bytes),
+    };
     let (era, fields) = match bytes.split_first() {
         Some((&ERA_MARKER, rest)) => {
             let (era, used) = decode_prefix(rest)?;
@@ -247,6 +290,7 @@
         services,
         recent_changes,
         era,
+        departures,
     })
 }
 
--- a/crates/ownership/tests/target_restarts.rs
+++ b/crates/ownership/tests/target_restarts.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use masticdeal_ownership::change::{Change, Delta};
+use masticdeal_ownership::change::{Change, Delta, EndCause};
 use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
 use masticdeal_ownership::lease::{
-    Core, CoreSettings, Effect, Event, HeldShard, Identity, MoveWriter, TargetReport,
+    Core, CoreSettings, Effect, Event, HeldShard, Identity, MoveWriter, Outcome, TargetReport,
 };
 use masticdeal_ownership::table::{Session, Table, TargetInfo, TargetState};
 
@@ -277,3 +277,135 @@
     let granted = owner.grants(ms(5)).map_or(Vec::new(), |g| g.shards);
     expect_that!(granted, is_empty());
 }
+
+/// Guards against a restarted daemon that joins with a target which left while its earlier process
+/// ran, on a report from before the departure.
+#[googletest::test]
+fn restarted_daemon_joins_with_the_departure_of_its_target() {
+    use TargetState::{Departing, Ready};
+    struct Case {
+        name: &'static str,
+        /// Incarnation that the table shows as departed.
+        departed: u64,
+        /// Whether the session of the earlier process has ended.
+        ended: bool,
+        /// Whether the report arrives before the table is read.
+        reported_first: bool,
+        /// States reported to the restarted daemon, for incarnation 1.
+        reports: &'static [TargetState],
+        expected: TargetState,
+    }
+    let case = Case {
+        name: "report before the table is read",
+        departed: 1,
+        ended: true,
+        reported_first: true,
+        reports: &[Ready],
+        expected: Departing,
+    };
+    let cases = [
+        Case {
+            name: "report after the table is read",
+            reported_first: false,
+            ..case
+        },
+        Case {
+            name: "session of the earlier process in the table",
+            ended: false,
+            ..case
+        },
+        Case {
+            name: "several reports",
+            reports: &[Ready, Ready],
+            ..case
+        },
+        Case {
+            name: "earlier incarnation departed",
+            departed: 9,
+            expected: Ready,
+            ..case
+        },
+        Case {
+            name: "target that drains and returns",
+            reports: &[Departing, Ready],
+            expected: Ready,
+            ..case
+        },
+        case,
+    ];
+    for c in cases {
+        let (table, other, own) = table_of_two(10);
+        let depart = Change::SetTarget {
+            session: own,
+            target: session(0, 0, &[]).target.map(|t| TargetInfo {
+                state: Departing,
+                incarnation: c.departed,
+                ..t
+            }),
+        };
+        let mut table = apply(&table, vec![depart]);
+        if c.ended {
+            let end = Change::End {
+                session: own,
+                term: 1,
+                cause: EndCause::LeaseExpired,
+            };
+            table = apply(&table, vec![end]);
+        }
+        let mut restarted = core(11, ms(0));
+        let reports = || c.reports.iter().map(|state| target(1, *state));
+        let mut now = ms(1);
+        if c.reported_first {
+            reports().for_each(|r| drop(restarted.handle(now, r)));
+        }
+        restarted.handle(now, Event::TableReceived(table.clone()));
+        if !c.reported_first {
+            reports().for_each(|r| drop(restarted.handle(now, r)));
+        }
+        let joined = loop {
+            assert_that!(now, lt(LEASE * 3), "{}: no join", c.name);
+            now += ms(10);
+            let mut effects = restarted.handle(now, Event::Tick);
+            let mut next = None;
+            while let Some(effect) = effects.pop() {
+                match effect {
+                    Effect::ReadTable { read } => {
+                        let event = Event::TableRead {
+                            read,
+                            table: Some(table.clone()),
+                            store_era: 0,
+                        };
+                        effects.extend(restarted.handle(now, event));
+                    }
+                    Effect::SendJoin { to, .. } => {
+                        let failed = Event::RequestFailed { to, refused: false };
+                        effects.extend(restarted.handle(now, failed));
+                    }
+                    Effect::Swap {
+                        delta,
+                        next: swapped,
+                    } => {
+                        let change_id = delta.change_id;
+                        let outcome = Outcome::Done;
+                        let event = Event::SwapOutcome { change_id, outcome };
+                        effects.extend(restarted.handle(now, event));
+                        table = swapped.clone();
+                        next = Some(swapped);
+                    }
+                    _ => {}
+                }
+            }
+            // A target that returned to service is written by the swap after the join.
+            let own = next.as_ref().and_then(|t| {
+                let joined = t.sessions.iter().find(|s| s.id != other && s.id != own);
+                joined.and_then(|s| s.target.clone())
+            });
+            match own {
+                Some(target) if c.expected != Ready || target.state == Ready => break target,
+                _ => {}
+            }
+        };
+        expect_that!(joined.state, eq(c.expected), "{}", c.name);
+        expect_that!(joined.incarnation, eq(1), "{}", c.name);
+    }
+}
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -6,7 +6,8 @@
 use masticdeal_ownership::change::{Change, Delta};
 use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
 use masticdeal_ownership::table::{
-    KeyOverride, MAX_SHARDS, Service, Session, Shard, Table, TargetInfo, TargetState,
+    Departure, KeyOverride, MAX_DEPARTURES, MAX_SHARDS, Service, Session, Shard, Table, TargetInfo,
+    TargetState,
 };
 use masticdeal_policy::Verdict;
 use masticdeal_wire::codec::{Error, MAX_FRAME_BYTES, PREFIX_BYTES, decode, decode_body, encode};
@@ -74,6 +75,13 @@
         services: (0..services).map(service).collect(),
         recent_changes: vec![ChangeId(u64::MAX); 128],
         era: u64::MAX,
+        departures: vec![
+            Departure {
+                address: session(0).address,
+                incarnation: u64::MAX,
+            };
+            MAX_DEPARTURES
+        ],
     }
 }
 
