Move what is known of the target out of the announce port

`known_target.rs` now has the second job, `apply_departure` stands beside the installation of tables, and the tests of departures have a file of their own.

--- a/crates/daemon/src/owner/mod.rs
+++ b/crates/daemon/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod connection;
 mod grant;
 mod in_flight;
+mod known_target;
 mod read_limit;
 mod response_body;
 mod run;
--- a/crates/ownership/src/lease/core.rs
+++ b/crates/ownership/src/lease/core.rs
@@ -52,7 +52,7 @@
     pub(super) target: Option<TargetReport>,
     /// Incarnation of the target whose departure was reported to this process; 0 if none was. This
     /// process knows the order of its reports, so the target may return to service.
-    reported_departure: u64,
+    pub(super) reported_departure: u64,
     pub(super) declared: Vec<DeclaredService>,
     pub(super) leaving: bool,
     /// Sessions that an operator confirmed as lost.
@@ -289,18 +289,6 @@
         }
     }
 
-    /// Keeps a target out of service whose departure was reported to an earlier process of this
-    /// daemon. The report that shows it as ready may date from before the departure.
-    pub(super) fn apply_departure(&mut self) {
-        let address = self.identity.address;
-        if let Some(target) = &mut self.target
-            && target.incarnation != self.reported_departure
-            && self.table.has_departed(address, target.incarnation)
-        {
-            target.state = TargetState::Departing;
-        }
-    }
-
     /// Handles the events of moves and key overrides.
     fn dispatch_move(&mut self, now: Duration, event: Event) {
         match event {
--- a/crates/ownership/src/lease/install.rs
+++ b/crates/ownership/src/lease/install.rs
@@ -12,7 +12,7 @@
 use crate::ids::{ServiceId, SessionId, ShardId, shard_of};
 use crate::journal::{Decision, DecisionKind, LessorCause, MoveCause, Rejection};
 use crate::lessor_selection;
-use crate::table::Table;
+use crate::table::{Table, TargetState};
 
 impl Core {
     pub(super) fn handle_table_read(
@@ -122,6 +122,18 @@
         self.effects.push(Effect::TableChanged(table));
     }
 
+    /// Keeps a target out of service whose departure was reported to an earlier process of this
+    /// daemon. The report that shows it as ready may date from before the departure.
+    pub(super) fn apply_departure(&mut self) {
+        let address = self.identity.address;
+        if let Some(target) = &mut self.target
+            && target.incarnation != self.reported_departure
+            && self.table.has_departed(address, target.incarnation)
+        {
+            target.state = TargetState::Departing;
+        }
+    }
+
     fn install_session(&mut self, now: Duration) {
         let own = self
             .table
--- a/crates/ownership/tests/table.rs
+++ b/crates/ownership/tests/table.rs
@@ -4,12 +4,11 @@
 use masticdeal_ownership::apply::ApplyError;
 use masticdeal_ownership::assignment;
 use masticdeal_ownership::change::{Change, Delta, EndCause};
-use masticdeal_ownership::checker::{self, Violation};
+use masticdeal_ownership::checker;
 use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
 use masticdeal_ownership::lessor_selection::{self, Location};
 use masticdeal_ownership::table::{
-    self, CodecError, Departure, MAX_DEPARTURES, MAX_RECENT_CHANGES, MAX_TABLE_BYTES, Session,
-    Table, TargetInfo, TargetState,
+    self, CodecError, MAX_RECENT_CHANGES, MAX_TABLE_BYTES, Session, Table, TargetInfo, TargetState,
 };
 
 const SEARCH: ServiceId = ServiceId(0);
@@ -301,149 +300,6 @@
     expect_that!(table::decode(&longer), err(eq(&trailing)));
 }
 
-/// Guards against a departure that is lost, and against a cut table that looks complete.
-#[googletest::test]
-fn codec_keeps_departures_and_rejects_cut_tables() {
-    let departures = vec![departure(3, 17), departure(4, u64::MAX)];
-    for era in [0, 3] {
-        let table = Table {
-            departures: departures.clone(),
-            era,
-            ..fleet(20, 1024)
-        };
-        let bytes = table::encode(&table).expect("table encodes");
-        expect_that!(table::decode(&bytes), ok(eq(&table)));
-        for cut in 0..bytes.len() {
-            expect_that!(table::decode(&bytes[..cut]), err(anything()), "{cut}");
-        }
-    }
-}
-
-fn departure(n: u32, incarnation: u64) -> Departure {
-    Departure {
-        address: session(n).address,
-        incarnation,
-    }
-}
-
-/// Guards against a departure that ends with the session of the daemon that heard of it, one that
-/// keeps the next incarnation out of service, and a list of departures without end.
-#[googletest::test]
-fn departures_outlive_sessions_until_the_next_incarnation_is_in_service() {
-    use TargetState::{Away, Departing, Draining, Ready};
-    const LEAVING: SessionId = SessionId(1);
-    struct Case {
-        name: &'static str,
-        /// States of the target of the leaving session, with its incarnations.
-        targets: &'static [(TargetState, u64)],
-        expected: Option<u64>,
-    }
-    let cases = [
-        Case {
-            name: "departed",
-            targets: &[(Ready, 7), (Departing, 7)],
-            expected: Some(7),
-        },
-        Case {
-            name: "silent after the departure",
-            targets: &[(Departing, 7), (Away, 7)],
-            expected: Some(7),
-        },
-        Case {
-            name: "drained by an operator",
-            targets: &[(Ready, 7), (Draining, 7)],
-            expected: None,
-        },
-        Case {
-            name: "returned to service",
-            targets: &[(Departing, 7), (Ready, 7)],
-            expected: None,
-        },
-        Case {
-            name: "next incarnation in service",
-            targets: &[(Departing, 7), (Ready, 8)],
-            expected: None,
-        },
-        Case {
-            name: "late entry of an earlier incarnation",
-            targets: &[(Departing, 7), (Ready, 6)],
-            expected: Some(7),
-        },
-        Case {
-            name: "next incarnation departed",
-            targets: &[(Departing, 7), (Departing, 8)],
-            expected: Some(8),
-        },
-        Case {
-            name: "without an incarnation",
-            targets: &[(Departing, 0)],
-            expected: None,
-        },
-    ];
-    for c in cases {
-        let mut table = fleet(3, 4);
-        for &(state, incarnation) in c.targets {
-            let target = ready_target().map(|t| TargetInfo {
-                state,
-                incarnation,
-                ..t
-            });
-            let session = LEAVING;
-            table = apply(&table, vec![Change::SetTarget { session, target }]);
-        }
-        let end = Change::End {
-            session: LEAVING,
-            term: 1,
-            cause: EndCause::LeaseExpired,
-        };
-        table = apply(&table, vec![end]);
-        let expected: Vec<_> = c.expected.iter().map(|i| departure(1, *i)).collect();
-        expect_that!(table.departures, eq(&expected), "{}", c.name);
-        expect_that!(checker::check_table(&table), ok(anything()), "{}", c.name);
-    }
-}
-
-/// Guards against a list of departures that grows with each VM that ever left.
-#[googletest::test]
-fn oldest_departures_are_dropped_at_the_limit() {
-    let mut table = fleet(1, 4);
-    for n in 1..=MAX_DEPARTURES as u32 + 3 {
-        let target = ready_target().map(|t| TargetInfo {
-            state: TargetState::Departing,
-            incarnation: 7,
-            ..t
-        });
-        let own = Session {
-            target,
-            ..session(n)
-        };
-        let end = Change::End {
-            session: SessionId(table.next_session),
-            term: 1,
-            cause: EndCause::Left,
-        };
-        table = apply(&table, vec![Change::Join { session: own }, end]);
-    }
-    expect_that!(table.departures, len(eq(MAX_DEPARTURES)));
-    expect_that!(table.departures.first(), some(eq(&departure(4, 7))));
-}
-
-/// Guards against a table that shows a target in service after its departure.
-#[googletest::test]
-fn target_in_service_after_its_departure_violates_an_invariant() {
-    let mut table = fleet(3, 4);
-    let target = table.sessions[1]
-        .target
-        .as_mut()
-        .expect("session has a target");
-    target.incarnation = 7;
-    table.departures = vec![departure(1, 6)];
-    expect_that!(checker::check_table(&table), ok(anything()));
-    table.departures = vec![departure(1, 7)];
-    let violation = Violation::DepartedTarget(SessionId(1));
-    expect_that!(checker::check_table(&table), err(eq(&violation)));
-}
-
 /// Guards against a table near or above the platform's size limit at the maximum number of shards.
 #[googletest::test]
 fn largest_table_is_below_half_of_size_limit() {
