Attribute a late message of leaving to the earlier incarnation of an instance

Callers: none yet; a fault of that was found by reading. A target may start again under its id. A message of leaving of the earlier incarnation that names none and arrives late, or twice, was taken for one of the present incarnation, which then stayed out of use until the target started again.

Cause: without an incarnation, the message was attributed to the one that the instance reported last. Ruled out: an order by sequence number, which the message does not have.

Change: within 5 s of the first report of an incarnation, the message means the earlier incarnation of the same instance. A target serves on for seconds after it has left, so one that leaves by itself so early is rare; it is refused and can send the message again.

Test: `announce.rs::delayed_report_does_not_make_a_target_that_left_ready` has four more rows. Before the change "late message of an earlier incarnation that names none" and "repeated message of an earlier incarnation that names none" failed (200, Draining); the other two show that the present incarnation can leave.

--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -283,8 +283,7 @@
         let silence = ANNOUNCE_TIMEOUT.max(longest_grant(&self.node.settings));
         let incarnation = known.publish_as(now, reported_incarnation, silence);
         announce.incarnation = incarnation.ok_or(Error::Stale)?;
-        known.highest_incarnation = known.highest_incarnation.max(reported_incarnation);
-        known.last = Some(LastAnnouncement {
+        known.record_report(LastAnnouncement {
             announce: announce.clone(),
             reported_incarnation,
             sequence: report.sequence,
@@ -309,7 +308,7 @@
     fn start_draining(&self, instance: &str, incarnation: u64) -> Result<u64, Error> {
         let now = self.node.clock.now();
         let mut known = self.known.lock().unwrap_or_else(|e| e.into_inner());
-        let Some(departing) = known.departing_incarnation(instance, incarnation) else {
+        let Some(departing) = known.departing_incarnation(now, instance, incarnation) else {
             known.unnamed_departure = Some((instance.to_owned(), now));
             return Err(Error::Stale);
         };
--- a/crates/daemon/src/owner/known_target.rs
+++ b/crates/daemon/src/owner/known_target.rs
@@ -16,6 +16,10 @@
 /// that leaves serves on for longer, so its next incarnation reports later.
 const UNNAMED_DEPARTURE_TTL: Duration = ANNOUNCE_TIMEOUT;
 
+/// Time after the first report of an incarnation in which a message of leaving that names none is
+/// taken for a late one of the earlier incarnation of the same instance.
+const RESTART_MESSAGE_DELAY: Duration = Duration::from_secs(5);
+
 /// Number of incarnations that have left which are remembered. Their reports are at most seconds
 /// late.
 const MAX_DEPARTED: usize = 8;
@@ -49,7 +53,9 @@
     /// knows which of its reports are later, so the target may become ready again.
     pub draining_incarnation: u64,
     /// Highest incarnation reported.
-    pub highest_incarnation: u64,
+    highest_incarnation: u64,
+    /// Earlier incarnation of the instance that reported last, and when the present one first did.
+    restarted: Option<(u64, Duration)>,
     /// Other incarnation that reports meanwhile, not above the highest one, and the time of its
     /// first report.
     lower: Option<(u64, Duration)>,
@@ -83,12 +89,30 @@
         Some(reported.max(last.announce.incarnation + 1))
     }
 
-    /// Returns the incarnation that a message of leaving names, or that the instance reported last.
-    pub fn departing_incarnation(&self, instance: &str, named: u64) -> Option<u64> {
+    /// Records an accepted report.
+    pub fn record_report(&mut self, report: LastAnnouncement) {
+        let reported = report.reported_incarnation;
+        self.highest_incarnation = self.highest_incarnation.max(reported);
+        let earlier = self.last.replace(report.clone());
+        let earlier = earlier.filter(|e| e.reported_incarnation != reported);
+        if let Some(earlier) = earlier {
+            let is_same_instance = earlier.announce.instance == report.announce.instance;
+            self.restarted =
+                is_same_instance.then_some((earlier.reported_incarnation, report.received_at));
+        }
+    }
+
+    /// Returns the incarnation that a message of leaving means: the one that it names, or else the
+    /// one that the instance reported last. `None` if no report of the instance is known.
+    pub fn departing_incarnation(&self, now: Duration, instance: &str, named: u64) -> Option<u64> {
+        if named != 0 {
+            return Some(named);
+        }
         let last = self.last.as_ref();
-        let last = last.filter(|last| last.announce.instance == instance);
-        let reported = last.map(|last| last.reported_incarnation);
-        Some(named).filter(|n| *n != 0).or(reported)
+        let last = last.filter(|last| last.announce.instance == instance)?;
+        let is_recent = |(_, at): &(u64, Duration)| now.saturating_sub(*at) < RESTART_MESSAGE_DELAY;
+        let earlier = self.restarted.filter(is_recent);
+        Some(earlier.map_or(last.reported_incarnation, |(incarnation, _)| incarnation))
     }
 
     /// Remembers that an incarnation has left.
--- a/crates/daemon/tests/announce.rs
+++ b/crates/daemon/tests/announce.rs
@@ -217,6 +217,47 @@
             messages: &[(0, "/leave/0", 409), (3_000, "/report/8/1", 200)],
             expected: (AnnouncedState::Ready, 8),
         },
+        Case {
+            name: "late message of an earlier incarnation that names none",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (1_000, "/report/8/1", 200),
+                (2_500, "/leave/0", 409),
+                (2_600, "/report/8/2", 200),
+            ],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "repeated message of an earlier incarnation that names none",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (100, "/leave/0", 200),
+                (1_000, "/report/8/1", 200),
+                (1_500, "/leave/0", 409),
+                (1_600, "/report/8/2", 200),
+            ],
+            expected: (AnnouncedState::Ready, 8),
+        },
+        Case {
+            name: "next incarnation leaves without naming itself",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (1_000, "/report/8/1", 200),
+                (7_000, "/leave/0", 200),
+                (7_100, "/report/8/2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 8),
+        },
+        Case {
+            name: "next instance leaves without naming its incarnation",
+            messages: &[
+                (0, "/report/7/1", 200),
+                (1_000, "/report/8/1/i-2", 200),
+                (1_500, "/leave/0/i-2", 200),
+                (1_600, "/report/8/2/i-2", 200),
+            ],
+            expected: (AnnouncedState::Draining, 8),
+        },
         Case {
             name: "message of leaving of another instance",
             messages: &[
