Check the age of the last announcement at a fixed interval

What callers could see: a target that had ended without a message stayed in service for as long as the assignment table changed more often than four times a second, as it does while a fleet starts or after a restore of the store.

Evidence: silent_target_expires_while_the_table_changes failed before (the target was still there after 1 s of changes 20 ms apart) and passes now.

Change: the check has an interval of its own, which neither connections nor changes of the table restart.

--- a/crates/daemon/src/owner/announce.rs
+++ b/crates/daemon/src/owner/announce.rs
@@ -17,7 +17,7 @@
 use masticdeal_wire::target::{Announce, AnnouncedState, Report, ReportReply};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval};
 
 use super::known_target::{KnownTarget, LastAnnouncement};
 use crate::exchange::{Body, full_body};
@@ -31,7 +31,7 @@
 /// Longest wait until the table shows that a target leaves. A target waits 1 s for a reply.
 const DEPARTURE_WRITE_TIMEOUT: Duration = Duration::from_millis(750);
 
-/// Time without a new connection after which the age of the last announcement is checked.
+/// Interval at which the age of the last announcement is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Largest announcement in bytes. A report has one list of the key ranges that the target holds,
@@ -84,6 +84,8 @@
     });
     let connection_limit = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut table = server.node.table.subscribe();
+    let mut expiry_check = interval(CHECK_INTERVAL);
+    expiry_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -91,7 +93,7 @@
                 server.apply_recorded_departure();
                 continue;
             }
-            () = sleep(CHECK_INTERVAL) => {
+            _ = expiry_check.tick() => {
                 server.expire_target();
                 continue;
             }
--- a/crates/daemon/tests/announce.rs
+++ b/crates/daemon/tests/announce.rs
@@ -367,6 +367,26 @@
     }
 }
 
+/// Guards against a silent target that stays in service while the table keeps changing.
+#[gtest]
+#[tokio::test]
+async fn silent_target_expires_while_the_table_changes() {
+    let port = Port::start_without_control_plane().await;
+    expect_that!(port.send(0, "/report/7/1").await, eq(200));
+    port.clock.0.store(4_000, Ordering::SeqCst);
+    let change_table = async {
+        loop {
+            port.node.table.send_replace(Arc::default());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let expired = common::wait_until(|| port.target().is_none());
+    tokio::select! {
+        expired = timeout(Duration::from_secs(1), expired) => expect_that!(expired, ok(anything())),
+        () = change_table => {}
+    }
+}
+
 /// Guards against a departure that is acknowledged and lost with the process, because the table does
 /// not show it.
 #[gtest]
