Record a report without copying its announcement

KnownTarget::record_report cloned each report to compare it with the one that it replaces. It now compares first. The behaviour is the same.

--- a/crates/daemon/src/owner/known_target.rs
+++ b/crates/daemon/src/owner/known_target.rs
@@ -93,13 +93,14 @@
     pub fn record_report(&mut self, report: LastAnnouncement) {
         let reported = report.reported_incarnation;
         self.highest_incarnation = self.highest_incarnation.max(reported);
-        let earlier = self.last.replace(report.clone());
-        let earlier = earlier.filter(|e| e.reported_incarnation != reported);
-        if let Some(earlier) = earlier {
+        if let Some(earlier) = &self.last
+            && earlier.reported_incarnation != reported
+        {
             let is_same_instance = earlier.announce.instance == report.announce.instance;
             self.restarted =
                 is_same_instance.then_some((earlier.reported_incarnation, report.received_at));
         }
+        self.last = Some(report);
     }
 
     /// Returns the incarnation that a message of leaving means: the one that it names, or else the
