--- a/crates/ownership/tests/departures.rs
+++ b/crates/ownership/tests/departures.rs
@@ -1,48 +1,13 @@
 //! Departures of targets in the table.
 
+mod common;
+
+use common::{apply, session, target};
 use googletest::prelude::*;
-use masticdeal_ownership::change::{Change, Delta, EndCause};
+use masticdeal_ownership::change::{Change, EndCause};
 use masticdeal_ownership::checker::{self, Violation};
-use masticdeal_ownership::ids::{ChangeId, ServiceId, SessionId};
-use masticdeal_ownership::table::{
-    self, Departure, MAX_DEPARTURES, Session, Table, TargetInfo, TargetState,
-};
-
-const SEARCH: ServiceId = ServiceId(0);
-
-fn session(n: u32) -> Session {
-    Session {
-        id: SessionId(0),
-        incarnation: u64::from(n) + 100,
-        vm: format!("vm-{n}"),
-        address: ([127, 0, (n >> 8) as u8, n as u8], 7001).into(),
-        region: "r".into(),
-        data_centre: "a".into(),
-        lessors: Vec::new(),
-        term: 1,
-        target: None,
-    }
-}
-
-fn target(state: TargetState, incarnation: u64) -> Option<TargetInfo> {
-    Some(TargetInfo {
-        service: SEARCH,
-        slots: 6,
-        checks_grants: true,
-        state,
-        capacity: 0,
-        incarnation,
-    })
-}
-
-fn apply(table: &Table, changes: Vec<Change>) -> Table {
-    let delta = Delta {
-        to_version: table.version + 1,
-        change_id: ChangeId(table.version + 1),
-        changes,
-    };
-    table.apply(&delta).expect("change applies")
-}
+use masticdeal_ownership::ids::SessionId;
+use masticdeal_ownership::table::{self, Departure, MAX_DEPARTURES, Session, Table, TargetState};
 
 /// Creates a table of sessions with a ready target each.
 fn fleet(sessions: u32) -> Table {
--- a/crates/ownership/tests/table.rs
+++ b/crates/ownership/tests/table.rs
@@ -1,55 +1,19 @@
 //! Changes of the table, its codec, the assignment of shards and the selection of lessors.
 
+mod common;
+
+use common::{SEARCH, apply, delta, session, target};
 use googletest::prelude::*;
 use masticdeal_ownership::apply::ApplyError;
 use masticdeal_ownership::assignment;
-use masticdeal_ownership::change::{Change, Delta, EndCause};
+use masticdeal_ownership::change::{Change, EndCause};
 use masticdeal_ownership::checker;
-use masticdeal_ownership::ids::{ChangeId, Epoch, ServiceId, SessionId, ShardId};
+use masticdeal_ownership::ids::{Epoch, ServiceId, SessionId, ShardId};
 use masticdeal_ownership::lessor_selection::{self, Location};
 use masticdeal_ownership::table::{
-    self, CodecError, MAX_RECENT_CHANGES, MAX_TABLE_BYTES, Session, Table, TargetInfo, TargetState,
+    self, CodecError, MAX_RECENT_CHANGES, MAX_TABLE_BYTES, Session, Table, TargetState,
 };
 
-const SEARCH: ServiceId = ServiceId(0);
-
-fn session(n: u32) -> Session {
-    Session {
-        id: SessionId(0),
-        incarnation: u64::from(n) + 100,
-        vm: format!("vm-{n}"),
-        address: ([127, 0, (n >> 8) as u8, n as u8], 7001).into(),
-        region: "r".into(),
-        data_centre: ["a", "b", "c"][n as usize % 3].into(),
-        lessors: Vec::new(),
-        term: 1,
-        target: None,
-    }
-}
-
-fn ready_target() -> Option<TargetInfo> {
-    Some(TargetInfo {
-        service: SEARCH,
-        slots: 6,
-        checks_grants: true,
-        state: TargetState::Ready,
-        capacity: 0,
-        incarnation: 0,
-    })
-}
-
-fn delta(table: &Table, changes: Vec<Change>) -> Delta {
-    Delta {
-        to_version: table.version + 1,
-        change_id: ChangeId(table.version + 1),
-        changes,
-    }
-}
-
-fn apply(table: &Table, changes: Vec<Change>) -> Table {
-    table.apply(&delta(table, changes)).expect("change applies")
-}
-
 /// Creates a table of sessions with a ready target each, and a service with all shards assigned.
 fn fleet(sessions: u32, shards: u32) -> Table {
     let mut changes = vec![Change::DeclareService {
@@ -62,7 +26,7 @@
         });
         changes.push(Change::SetTarget {
             session: SessionId(n),
-            target: ready_target(),
+            target: target(TargetState::Ready, 0),
         });
     }
     let table = apply(&Table::default(), changes);
