Log received configurations and export the age of the newest one

The log of the late configuration (docs/incidents/silent-watches.md) can't tell whether the daemons believed that they had the newest configuration, or knew of a newer one and did not get it. Each configuration that the store returns is now logged with the time of the call and whether it was a watch, and each daemon exports the age that it tells its peers.

No logic is changed. With it, a watch that returns after a silence says waited true with a call_ms as long as the silence (hypothesis 1); a transfer that does not end shows a newer revision in a log line of some daemon before (hypothesis 2).

--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -39,7 +39,7 @@
 /// versions in lease renewals deliver each of them, while each watch counts as a call.
 const TABLE_CHANGE_DELAY: Duration = Duration::from_secs(1);
 
-/// Interval at which the call counters are exported to the metrics.
+/// Interval at which the state of the platform's store is exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Whether a daemon had to watch the configuration all the time since its last call.
@@ -133,9 +133,9 @@
                 // Its position is old: the store would send every configuration since.
                 watch = KeyWatch::new(self.node.protocol.config.key);
             }
-            let now = self.node.clock.now();
+            let started_at = self.node.clock.now();
             let is_waiting = watch.is_positioned();
-            self.config_freshness().start_call(now, is_waiting);
+            self.config_freshness().start_call(started_at, is_waiting);
             let received = watch.next(&platform).await;
             let now = self.node.clock.now();
             self.config_freshness().end_call(now, watch.is_positioned());
@@ -145,6 +145,8 @@
                 }
                 continue;
             };
+            log::info!(call_ms = (now - started_at).as_millis() as u64, waited = is_waiting,
+                installed = self.config.revision(); "received the stored configuration");
             match self.config.decode(&value) {
                 Ok(stored) if self.install_stored_config(&stored, era).await => {
                     self.disseminate_config();
@@ -218,11 +220,15 @@
         }
     }
 
-    /// Exports the counters of platform calls to the metrics, until the task is dropped.
-    pub async fn export_platform_calls(self: Arc<Self>, platform: Client) {
+    /// Exports the counters of platform calls and the age of the configuration to the metrics, until
+    /// the task is dropped.
+    pub async fn export_platform_state(self: Arc<Self>, platform: Client) {
         let mut exported = [0; CallKind::ALL.len()];
         loop {
             tokio::time::sleep(METRICS_INTERVAL).await;
+            let age = self.config_freshness().age(self.node.clock.now());
+            let age_s = age.map_or(f64::NAN, |age| age.as_secs_f64());
+            self.node.metrics.config_age.set(age_s);
             for (call, exported) in CallKind::ALL.into_iter().zip(&mut exported) {
                 let count = platform.call_counts().get(call);
                 let kind = KindLabel {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -262,7 +262,7 @@
     tokio::spawn(control.clone().refresh_grants());
     tokio::spawn(control.clone().update_roles(is_watcher_tx));
     tokio::spawn(control.clone().watch_table(platform.clone(), is_watcher_rx));
-    tokio::spawn(control.clone().export_platform_calls(platform.clone()));
+    tokio::spawn(control.clone().export_platform_state(platform.clone()));
     tokio::spawn(control.clone().follow_store_era(platform.clone()));
     tokio::spawn(control.clone().watch_config(platform));
     tokio::spawn(control.clone().run_planner());
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -71,6 +71,8 @@
     pub silent_connections: Family<KindLabel, Counter>,
     /// Calls to the platform's store, by kind, as counted by the platform client.
     pub platform_calls: Family<KindLabel, Counter>,
+    /// How long ago this daemon knew that its configuration was the newest; NaN if it never did.
+    pub config_age: Gauge<f64, AtomicU64>,
 }
 
 impl Metrics {
@@ -91,6 +93,7 @@
             connections: Family::default(),
             silent_connections: Family::default(),
             platform_calls: Family::default(),
+            config_age: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -121,6 +124,12 @@
             "Calls of the platform",
             self.platform_calls.clone(),
         );
+        r.register_with_unit(
+            "config_age",
+            "Time since the configuration was known to be the newest",
+            Unit::Seconds,
+            self.config_age.clone(),
+        );
         let register_bytes = |r: &mut Registry, name: &str, help: &str, counter: &Counter| {
             r.register_with_unit(name, help, Unit::Bytes, counter.clone());
         };
