Take only answers of the store as proof of the newest configuration

Cause: a watch that waits counted as proof that no newer configuration exists, for up to 30 s. Class: a pending call was taken for proof that its other end is there.

Now only an answer counts, as of the start of its call, and only after its value is installed. The member with the lowest session asks for changes when its last answer is 0.7 s old and disseminates the answer; a daemon that no answer reaches asks by itself, at 1.2 s at the latest. The age in a reply to a renewal counts from when the request was sent, so that a late reply is not taken for a fresh one.

--- a/crates/daemon/src/control/config_freshness.rs
+++ b/crates/daemon/src/control/config_freshness.rs
@@ -1,63 +1,65 @@
-//! How long ago this daemon knew that it had the newest configuration.
+//! How long ago this daemon knew that it had the newest configuration, and when it has to ask the
+//! platform's store.
 //!
-//! A daemon that watches the configuration in the platform's store learns of each change at once. The
-//! others learn of it from peers. Lease renewals carry how long ago the sender knew that its
-//! configuration was the newest, so that a daemon notices when it depends on peers that no longer
-//! hear from the store, and then watches by itself.
+//! Only an answer of the store shows that no newer configuration exists, as of the time at which the
+//! call started. A call that waits shows nothing: the store may be gone. Daemons tell each other how
+//! old their last such answer is, so that one call of one daemon is enough for the whole fleet. A
+//! daemon that no answer reaches in time asks the store by itself.
 
+use std::ops::Range;
 use std::time::Duration;
 
-/// Age of the last confirmation from which a daemon watches the configuration by itself. It leaves
-/// half of the 2.5 s in which a change must be in force for the watch and the transfer.
+/// Age of the last confirmation at which any daemon has asked the store. It leaves 0.8 s of the 2 s
+/// in which a change must be in force, the shortest time that users have stated, for the call and for
+/// the transfer.
 pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_200);
 
+/// Which daemons ask the store before others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckRole {
+    /// The member that asks for all others, while the store answers it.
+    First,
+    /// A member that watches the configuration.
+    Watcher,
+    /// Any other daemon.
+    Other,
+}
+
+impl CheckRole {
+    /// Returns the age of the last confirmation at which a daemon asks the store. `spread` in `0..1`
+    /// is random, so that the answer to one daemon usually comes before the next one asks.
+    pub fn max_age(self, spread: f64) -> Duration {
+        let Range { start, end } = match self {
+            Self::First => Duration::from_millis(700)..Duration::from_millis(700),
+            Self::Watcher => Duration::from_millis(900)..Duration::from_millis(1_050),
+            Self::Other => Duration::from_millis(1_050)..MAX_CONFIRMATION_AGE,
+        };
+        start + (end - start).mul_f64(spread)
+    }
+}
+
 /// When this daemon last knew that no newer configuration had been accepted. All times are since
 /// boot.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConfigFreshness {
-    /// Whether a watch of the store is waiting for the next change.
-    is_watching: bool,
     confirmed_at: Option<Duration>,
 }
 
 impl ConfigFreshness {
-    /// Records the start of a call to the store, which waits for the next change or reads the
-    /// configuration.
-    pub fn start_call(&mut self, now: Duration, waits: bool) {
-        if waits {
-            self.confirmed_at = Some(now);
-        }
-        self.is_watching = waits;
-    }
-
-    /// Records the end of a call. A call that failed after a wait confirms nothing: the connection
-    /// may have been dead for a part of it.
-    pub fn end_call(&mut self, now: Duration, succeeded: bool) {
-        self.is_watching = false;
-        if succeeded {
-            self.confirmed_at = Some(now);
-        }
-    }
-
-    /// Records that a peer with the configuration of this daemon knew `age` ago that it was the
-    /// newest.
-    pub fn confirm(&mut self, now: Duration, age: Duration) {
-        self.confirmed_at = self.confirmed_at.max(now.checked_sub(age));
+    /// Records that the configuration of this daemon was the newest at the time `at`.
+    pub fn confirm(&mut self, at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
     /// Returns how long ago this daemon knew that it had the newest configuration; `None` if it
     /// never did.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        if self.is_watching {
-            return Some(Duration::ZERO);
-        }
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Returns when the last confirmation is too old to rely on peers, unless another one arrives;
+    /// Returns when the last confirmation reaches the age `max_age`, unless another one arrives;
     /// `Duration::ZERO` if there was none.
-    pub fn expires_at(&self) -> Duration {
-        let expiry = |at| at + MAX_CONFIRMATION_AGE;
-        self.confirmed_at.map_or(Duration::ZERO, expiry)
+    pub fn expires_at(&self, max_age: Duration) -> Duration {
+        self.confirmed_at.map_or(Duration::ZERO, |at| at + max_age)
     }
 }
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -57,6 +57,10 @@
                 "pulling a configuration whose base is not installed");
             self.spawn(Self::pull_from, origin);
         }
+        if let Some(confirmation) = &update.confirmation {
+            let now = self.node.clock.now();
+            self.confirm_config(confirmation.revision, confirmation.age, now);
+        }
         for (version, reason) in &update.move_reasons {
             let mut reasons = self.move_reasons.lock().unwrap();
             reasons.insert(*version, reason.clone());
@@ -73,11 +77,32 @@
 
     /// Forwards an update that came along the tree, if it is newer than those forwarded before.
     pub(super) fn forward_update(self: &Arc<Self>, update: Update) {
-        if update.origin.is_some() && self.mark_disseminated(&update) {
+        let Some(origin) = update.origin else {
+            return;
+        };
+        let is_newer = match &update.confirmation {
+            Some(confirmation) => self.mark_confirmation(origin, confirmation.sequence),
+            None => self.mark_disseminated(&update),
+        };
+        if is_newer {
             self.disseminate(update);
         }
     }
 
+    /// Records a confirmation as forwarded. Returns whether it is newer than those of the same origin
+    /// before.
+    fn mark_confirmation(&self, origin: SessionId, sequence: u64) -> bool {
+        let forwarded = &mut *self.forwarded_confirmations.lock().unwrap();
+        if !forwarded.contains_key(&origin) {
+            let table = self.node.table.borrow();
+            forwarded.retain(|session, _| table.session(*session).is_some());
+        }
+        let newest = forwarded.entry(origin).or_default();
+        let is_newer = *newest < sequence;
+        *newest = sequence.max(*newest);
+        is_newer
+    }
+
     /// Records the versions of an update as forwarded. Returns whether any of them is newer than
     /// those forwarded before. Must not be called for the reply to a pull: the children in the tree
     /// may still lack its versions.
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -251,6 +251,7 @@
             config_age: self.config_age(),
         };
         let timeout = self.node.settings.lease.renew_interval;
+        let sent_at = self.node.clock.now();
         let reply: Option<RenewReply> = self
             .call(renewal.lessor, headers::PATH_RENEW, &message, timeout)
             .await;
@@ -260,7 +261,8 @@
             self.handle_event(Event::RenewTimeout { lessor, sequence });
             return;
         };
-        self.confirm_config(reply.versions, reply.config_age);
+        // The reply was made after the request was sent, and may have been late since.
+        self.confirm_config(reply.versions.config, reply.config_age, sent_at);
         self.handle_event(Event::RenewReply {
             lessor,
             sequence,
--- a/crates/daemon/src/control/key_watch.rs
+++ b/crates/daemon/src/control/key_watch.rs
@@ -21,6 +21,8 @@
 /// revisions are reused, so a watch from an old revision can be accepted and miss changes.
 pub struct KeyWatch {
     key: &'static str,
+    /// Longest wait of one call for a change.
+    wait: Duration,
     /// `None` if the key must be read first.
     position: Option<Position>,
     /// Delay after the next failure.
@@ -36,6 +38,7 @@
     pub fn new(key: &'static str) -> Self {
         Self {
             key,
+            wait: WATCH_TIMEOUT,
             position: None,
             retry_delay: INITIAL_RETRY_DELAY,
             failing: false,
@@ -43,6 +46,14 @@
         }
     }
 
+    /// Creates a watch that only asks for the changes so far.
+    pub fn without_wait(key: &'static str) -> Self {
+        Self {
+            wait: Duration::ZERO,
+            ..Self::new(key)
+        }
+    }
+
     /// Returns whether the next call waits for a change, rather than reads the key.
     pub fn is_positioned(&self) -> bool {
         self.position.is_some()
@@ -84,7 +95,7 @@
         let mut era = platform.era();
         let era_ended = era.wait_for(|era| *era != position.era);
         let watched = tokio::select! {
-            watched = platform.watch(self.key, position.revision, WATCH_TIMEOUT) => Some(watched),
+            watched = platform.watch(self.key, position.revision, self.wait) => Some(watched),
             _ = era_ended => None,
         };
         let is_same_era = match &watched {
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -91,7 +91,7 @@
     fn on_renew(self: &Arc<Self>, message: Renew) -> Result<RenewReply> {
         let versions = message.versions;
         let lessee = message.session;
-        self.confirm_config(versions, message.config_age);
+        self.confirm_config(versions.config, message.config_age, self.node.clock.now());
         let replies = self.handle_event(Event::RenewRequest(Renewal {
             lessee,
             lessor: message.lessor,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,12 +5,13 @@
 //! - [`messages`]: handles control messages from other daemons.
 //! - [`table_store`], [`config_store`]: the assignment table and the configuration in the
 //!   platform's store.
-//! - [`config_freshness`]: whether this daemon can rely on peers for the newest configuration.
+//! - [`config_watch`]: learns of new configurations from the platform's store.
+//! - [`config_freshness`]: how old the last answer of the store about the configuration is.
 //! - [`config_history`]: the differences that bring a peer's configuration up to date.
 //! - [`config_restoration`]: finds the newest configuration after the store was restored from a
 //!   backup.
 //! - [`dissemination`]: sends updates of table and configuration to peers and pulls missing ones.
-//! - [`watcher`]: watches the platform's store, on a few daemons only.
+//! - [`watcher`]: watches the table in the platform's store, on a few daemons only.
 //! - [`key_watch`]: the watch of one key.
 //! - [`grants`]: refreshes the target's grant and revokes it before a move.
 //! - [`move_reasons`]: reasons of moves, for the journals.
@@ -32,6 +33,7 @@
 pub mod config_history;
 pub mod config_restoration;
 pub mod config_store;
+pub mod config_watch;
 pub mod dissemination;
 pub mod driver;
 pub mod grants;
@@ -49,8 +51,8 @@
 pub mod target;
 pub mod watcher;
 
-use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, AtomicU32};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
 use std::sync::{Arc, Mutex};
 
 use masticdeal_ownership::change::Delta;
@@ -96,6 +98,10 @@
     move_reasons: Mutex<MoveReasons>,
     /// When this daemon last knew that its configuration was the newest.
     config_freshness: Mutex<ConfigFreshness>,
+    /// Number of confirmations of the configuration that this daemon has disseminated.
+    confirmation_sequence: AtomicU64,
+    /// Newest confirmation that this daemon has forwarded, by the origin.
+    forwarded_confirmations: Mutex<BTreeMap<SessionId, u64>>,
     /// Sessions from which updates are being pulled.
     pulls: Mutex<BTreeSet<SessionId>>,
     /// Newest versions that this daemon has forwarded along the dissemination tree.
@@ -145,6 +151,8 @@
             swap_delta: Mutex::default(),
             move_reasons: Mutex::default(),
             config_freshness: Mutex::default(),
+            confirmation_sequence: AtomicU64::new(0),
+            forwarded_confirmations: Mutex::default(),
             pulls: Mutex::default(),
             disseminated: Mutex::default(),
             load_collection: tokio::sync::Mutex::default(),
--- a/crates/daemon/src/control/watcher.rs
+++ b/crates/daemon/src/control/watcher.rs
@@ -2,11 +2,10 @@
 //!
 //! Each watch counts as a call, and the store's rate limits grow more slowly than the fleet. So
 //! only the [`TABLE_WATCHERS`] lowest sessions of each data centre watch the table, and the
-//! [`CONFIG_WATCHERS`] lowest ones the configuration. All other daemons receive updates from peers. A
-//! daemon watches the configuration by itself while it has not joined, and while its peers do not
-//! confirm that it has the newest one.
+//! [`CONFIG_WATCHERS`] lowest ones the configuration. All other daemons receive updates from peers. See
+//! [`super::config_watch`] for the configuration.
 
-use std::sync::{Arc, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticdeal_ownership::ids::SessionId;
@@ -15,11 +14,9 @@
 use masticdeal_ownership::table::Table;
 use masticdeal_platform::{CallKind, Client, Value};
 use masticdeal_wire::headers::KEY_TABLE;
-use masticdeal_wire::peer::{ConfigAge, Versions};
 use tokio::sync::watch;
 
 use super::Control;
-use super::config_freshness::ConfigFreshness;
 use super::key_watch::KeyWatch;
 use crate::telemetry::metrics::KindLabel;
 
@@ -42,13 +39,6 @@
 /// Interval at which the state of the platform's store is exported to the metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Whether a daemon had to watch the configuration all the time since its last call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WatchRole {
-    Kept,
-    Regained,
-}
-
 /// Returns whether a session is one of the `count` lowest ones of its data centre.
 pub fn is_watcher(table: &Table, me: SessionId, count: usize) -> bool {
     let Some(own_session) = table.session(me) else {
@@ -124,91 +114,6 @@
         }
     }
 
-    /// Watches the configuration while this daemon has to, and disseminates changes, until the task
-    /// is dropped. A daemon without a configuration asks peers when the store does not answer.
-    pub async fn watch_config(self: Arc<Self>, platform: Client) {
-        let mut watch = KeyWatch::new(self.node.protocol.config.key);
-        loop {
-            if self.await_config_watch_role().await == WatchRole::Regained {
-                // Its position is old: the store would send every configuration since.
-                watch = KeyWatch::new(self.node.protocol.config.key);
-            }
-            let started_at = self.node.clock.now();
-            let is_waiting = watch.is_positioned();
-            self.config_freshness().start_call(started_at, is_waiting);
-            let received = watch.next(&platform).await;
-            let now = self.node.clock.now();
-            self.config_freshness().end_call(now, watch.is_positioned());
-            let Some((value, era)) = received else {
-                if watch.is_failing() && self.config.revision() == 0 {
-                    self.bootstrap_from_peers().await;
-                }
-                continue;
-            };
-            log::info!(call_ms = (now - started_at).as_millis() as u64, waited = is_waiting,
-                installed = self.config.revision(); "received the stored configuration");
-            match self.config.decode(&value) {
-                Ok(stored) if self.install_stored_config(&stored, era).await => {
-                    self.disseminate_config();
-                }
-                Ok(stored) => {
-                    self.config.install_rewritten(&stored);
-                }
-                Err(e) => log::error!("cannot decode the stored configuration: {e}"),
-            }
-        }
-    }
-
-    /// Waits until this daemon has to watch the configuration: it has not joined, it is one of the
-    /// watchers of its data centre, or its peers do not confirm that it has the newest one.
-    async fn await_config_watch_role(&self) -> WatchRole {
-        let mut table = self.node.table.subscribe();
-        let mut session = self.node.session.subscribe();
-        let mut role = WatchRole::Kept;
-        loop {
-            let me = *session.borrow_and_update();
-            let newest = table.borrow_and_update().clone();
-            if me.is_none_or(|me| is_watcher(&newest, me, CONFIG_WATCHERS)) {
-                return role;
-            }
-            let expires_at = self.config_freshness().expires_at();
-            let left = expires_at.saturating_sub(self.node.clock.now());
-            if left.is_zero() {
-                log::info!(table = newest.version, config = self.config.revision();
-                    "peers do not confirm the configuration, watching it in the platform store");
-                return role;
-            }
-            role = WatchRole::Regained;
-            let _ = tokio::time::timeout(left, async {
-                tokio::select! {
-                    _ = table.changed() => {}
-                    _ = session.changed() => {}
-                }
-            })
-            .await;
-        }
-    }
-
-    fn config_freshness(&self) -> MutexGuard<'_, ConfigFreshness> {
-        self.config_freshness.lock().unwrap()
-    }
-
-    /// Returns how long ago this daemon knew that its configuration was the newest.
-    pub(super) fn config_age(&self) -> ConfigAge {
-        let age = self.config_freshness().age(self.node.clock.now());
-        ConfigAge(age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)))
-    }
-
-    /// Records what a peer knew about the newest configuration, if it has that of this daemon.
-    pub(super) fn confirm_config(&self, versions: Versions, age: ConfigAge) {
-        if versions.config == self.config.revision()
-            && let ConfigAge(Some(age_ms)) = age
-        {
-            let age = Duration::from_millis(age_ms.into());
-            self.config_freshness().confirm(self.node.clock.now(), age);
-        }
-    }
-
     /// Passes changes of the store's era to the lease core, until the task is dropped.
     pub async fn follow_store_era(self: Arc<Self>, platform: Client) {
         let mut era_rx = platform.era();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -103,6 +103,19 @@
     pub move_reasons: Vec<(u64, MoveReason)>,
     /// A newer configuration.
     pub config: Option<ConfigUpdate>,
+    /// Set if the store has just confirmed to the origin that a configuration is the newest.
+    pub confirmation: Option<ConfigConfirmation>,
+}
+
+/// Answer of the platform store that a configuration is the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigConfirmation {
+    /// Number of the confirmation among those of the origin.
+    pub sequence: u64,
+    /// Revision of the configuration.
+    pub revision: u64,
+    /// Time since the start of the call to the store.
+    pub age: ConfigAge,
 }
 
 /// A configuration, with its text as differences to an earlier one.
