Compare texts of configurations before a peer's proof counts

After the store was restored from a copy and the operator had given out a lost version again, daemons without a watch kept the lost text: they answered 404 for the added route until the next version came.

Cause: a revision was taken to name one text. A peer's proof that its revision is the newest also confirmed the daemons that had the lost text under that revision, so they did not ask the store. Messages between daemons now carry the digest of the text beside the age, and a proof counts only for the same text.

The digest is kept with the installed text, so that a renewal does not hash it.

Open: a daemon that the store does not answer keeps the lost text until it is answered again.

--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -86,6 +86,8 @@
 #[derive(Debug, Default)]
 struct Installed {
     value: ConfigValue,
+    /// Digest of the text.
+    digest: u64,
     history: ConfigHistory,
 }
 
@@ -106,7 +108,10 @@
         Self {
             node,
             platform,
-            current: Mutex::default(),
+            current: Mutex::new(Installed {
+                digest: text_delta::digest(""),
+                ..Installed::default()
+            }),
         }
     }
 
@@ -122,7 +127,7 @@
 
     /// Returns the digest of the text of the installed configuration.
     pub fn digest(&self) -> u64 {
-        text_delta::digest(&self.current.lock().unwrap().value.text)
+        self.current.lock().unwrap().digest
     }
 
     /// Returns the update from the configuration that was installed before the current one.
@@ -173,7 +178,7 @@
         self.install_if(value, |current| current.revision < value.revision)
     }
 
-    /// Installs a configuration from a watch if it has the revision of the current one but another
+    /// Installs a configuration from the store if it has the revision of the current one but another
     /// text: operators may give out a revision again that the store had lost. Returns whether it was
     /// installed, which is never the case if daemons write the configuration.
     pub fn install_rewritten(&self, value: &ConfigValue) -> bool {
@@ -201,6 +206,7 @@
         };
         current.history.record(&current.value.text, &value.text);
         current.value = value.clone();
+        current.digest = text_delta::digest(&value.text);
         let published = (value.revision, Arc::new(deployment));
         self.node.deployment.send_replace(published);
         log::info!(
--- a/crates/daemon/src/control/config_watch.rs
+++ b/crates/daemon/src/control/config_watch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use masticdeal_platform::{Client, Value};
-use masticdeal_wire::peer::{ConfigAge, ConfigConfirmation, Update};
+use masticdeal_wire::peer::{ConfigConfirmation, ConfigProof, Update};
 
 use super::Control;
 use super::config_freshness::{CheckRole, ConfigFreshness};
@@ -182,7 +182,7 @@
             confirmation: Some(ConfigConfirmation {
                 sequence,
                 revision: self.config.revision(),
-                age: self.config_age(),
+                proof: self.config_proof(),
             }),
             ..Update::default()
         });
@@ -192,17 +192,20 @@
         self.config_freshness.lock().unwrap()
     }
 
-    /// Returns how long ago this daemon knew that its configuration was the newest.
-    pub(super) fn config_age(&self) -> ConfigAge {
+    /// Returns what this daemon knows about its configuration.
+    pub(super) fn config_proof(&self) -> ConfigProof {
         let age = self.config_freshness().age(self.node.clock.now());
-        ConfigAge(age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)))
+        ConfigProof {
+            digest: self.config.digest(),
+            age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+        }
     }
 
-    /// Records that a peer with the configuration `revision` knew `age` before the time `at` that it
-    /// was the newest, if this daemon has the same one.
-    pub(super) fn confirm_config(&self, revision: u64, age: ConfigAge, at: Duration) {
-        if revision == self.config.revision()
-            && let ConfigAge(Some(age_ms)) = age
+    /// Records what a peer with the configuration `revision` knew about it at the time `at`, if this
+    /// daemon has the same one.
+    pub(super) fn confirm_config(&self, revision: u64, proof: ConfigProof, at: Duration) {
+        if (revision, proof.digest) == (self.config.revision(), self.config.digest())
+            && let Some(age_ms) = proof.age_ms
             && let Some(confirmed_at) = at.checked_sub(Duration::from_millis(age_ms.into()))
         {
             self.config_freshness().confirm(confirmed_at);
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -59,7 +59,7 @@
         }
         if let Some(confirmation) = &update.confirmation {
             let now = self.node.clock.now();
-            self.confirm_config(confirmation.revision, confirmation.age, now);
+            self.confirm_config(confirmation.revision, confirmation.proof, now);
         }
         for (version, reason) in &update.move_reasons {
             let mut reasons = self.move_reasons.lock().unwrap();
--- a/crates/daemon/src/control/driver.rs
+++ b/crates/daemon/src/control/driver.rs
@@ -248,7 +248,7 @@
             lessor: renewal.lessor,
             sequence: renewal.sequence,
             versions: self.node.versions(),
-            config_age: self.config_age(),
+            config_proof: self.config_proof(),
         };
         let timeout = self.node.settings.lease.renew_interval;
         let sent_at = self.node.clock.now();
@@ -262,7 +262,7 @@
             return;
         };
         // The reply was made after the request was sent, and may have been late since.
-        self.confirm_config(reply.versions.config, reply.config_age, sent_at);
+        self.confirm_config(reply.versions.config, reply.config_proof, sent_at);
         self.handle_event(Event::RenewReply {
             lessor,
             sequence,
--- a/crates/daemon/src/control/messages.rs
+++ b/crates/daemon/src/control/messages.rs
@@ -91,7 +91,7 @@
     fn on_renew(self: &Arc<Self>, message: Renew) -> Result<RenewReply> {
         let versions = message.versions;
         let lessee = message.session;
-        self.confirm_config(versions.config, message.config_age, self.node.clock.now());
+        self.confirm_config(versions.config, message.config_proof, self.node.clock.now());
         let replies = self.handle_event(Event::RenewRequest(Renewal {
             lessee,
             lessor: message.lessor,
@@ -108,7 +108,7 @@
             sequence: message.sequence,
             granted: granted.ok_or(Error::NotJoined)?,
             versions: self.node.versions(),
-            config_age: self.config_age(),
+            config_proof: self.config_proof(),
         })
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,10 +18,15 @@
     pub config: u64,
 }
 
-/// How long ago the sender of a message knew that its configuration was the newest, in milliseconds;
-/// `None` if it never did.
+/// What the sender of a message knows about its configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigAge(pub Option<u32>);
+pub struct ConfigProof {
+    /// Digest of its text. Operators may give out a revision again after the store has lost it.
+    pub digest: u64,
+    /// How long ago the sender knew that it was the newest configuration, in milliseconds; `None` if
+    /// it never did.
+    pub age_ms: Option<u32>,
+}
 
 /// Requests the renewal of the sender's lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,8 +41,8 @@
     pub sequence: u64,
     /// Versions of the lessee.
     pub versions: Versions,
-    /// How long ago the lessee knew that its configuration was the newest.
-    pub config_age: ConfigAge,
+    /// What the lessee knows about its configuration.
+    pub config_proof: ConfigProof,
 }
 
 /// Reply to [`Renew`].
@@ -49,8 +54,8 @@
     pub granted: bool,
     /// Versions of the lessor.
     pub versions: Versions,
-    /// How long ago the lessor knew that its configuration was the newest.
-    pub config_age: ConfigAge,
+    /// What the lessor knows about its configuration.
+    pub config_proof: ConfigProof,
 }
 
 /// Asks the other lessor of a lessee whether it considers the lease expired as well.
@@ -114,8 +119,8 @@
     pub sequence: u64,
     /// Revision of the configuration.
     pub revision: u64,
-    /// Time since the start of the call to the store.
-    pub age: ConfigAge,
+    /// What the origin knows about it.
+    pub proof: ConfigProof,
 }
 
 /// A configuration, with its text as differences to an earlier one.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -12,9 +12,9 @@
 use masticdeal_policy::Verdict;
 use masticdeal_wire::codec::{Error, MAX_FRAME_BYTES, PREFIX_BYTES, decode, decode_body, encode};
 use masticdeal_wire::peer::{
-    ConfigAge, ConfigConfirmation, ConfigUpdate, ConfigValue, ExpiryReply, ExpiryRequest, Forward,
-    ForwardReply, LoadHint, MoveReason, Pull, Reason, Release, ReleaseReply, Renew, RenewReply,
-    StoredTable, Update, Versions,
+    ConfigConfirmation, ConfigProof, ConfigUpdate, ConfigValue, ExpiryReply, ExpiryRequest,
+    Forward, ForwardReply, LoadHint, MoveReason, Pull, Reason, Release, ReleaseReply, Renew,
+    RenewReply, StoredTable, Update, Versions,
 };
 use masticdeal_wire::text_delta::TextDelta;
 use proptest::prelude::*;
@@ -24,6 +24,11 @@
 /// Maximum length of a configuration accepted by the configuration parser.
 const MAX_TEXT_BYTES: usize = 128 << 10;
 
+const CONFIG_PROOF: ConfigProof = ConfigProof {
+    digest: u64::MAX,
+    age_ms: Some(20),
+};
+
 const VERSIONS: Versions = Versions {
     table: u64::MAX,
     config: 1,
@@ -110,7 +115,7 @@
         confirmation: Some(ConfigConfirmation {
             sequence: 3,
             revision: 9,
-            age: ConfigAge(Some(20)),
+            proof: CONFIG_PROOF,
         }),
     }
 }
