Read the configuration once after a check that found a newer one

A check that installed a configuration read it again with its next call, because it compared revisions with the one from before the call.

--- a/crates/daemon/src/control/config_watch.rs
+++ b/crates/daemon/src/control/config_watch.rs
@@ -69,7 +69,8 @@
         } else if watch.is_failing() && self.config.revision() == 0 {
             self.bootstrap_from_peers().await;
         }
-        // Only now: peers that hear of it take the installed configuration for the newest.
+        // Only now: peers that hear of it take the installed configuration for the newest. A stored
+        // value that cannot be used does not count as newer: no daemon could use it.
         if watch.is_positioned() {
             self.config_freshness().confirm(started_at);
         }
@@ -80,11 +81,9 @@
     async fn find_newer_config(self: &Arc<Self>, check: &mut ConfigCheck, platform: &Client) {
         loop {
             self.await_config_check().await;
-            let revision = self.config.revision();
-            if check.revision != revision {
+            if check.revision != self.config.revision() {
                 // Its position is old: the store would send every configuration since.
                 check.watch = KeyWatch::without_wait(self.node.protocol.config.key);
-                check.revision = revision;
             }
             let started_at = self.node.clock.now();
             let received = check.watch.next(platform).await;
@@ -92,6 +91,7 @@
                 Some((value, era)) => self.install_received(value, *era).await,
                 None => false,
             };
+            check.revision = self.config.revision();
             if check.watch.is_positioned() {
                 self.config_freshness().confirm(started_at);
                 self.disseminate_confirmation();
