Name the ages of checks, and number confirmations by time

A restarted process whose session had kept its id would have numbered its confirmations from 1 again, and peers would have dropped them as forwarded before. The time since boot needs no counter and rises across restarts of the process. The ages at which daemons ask the store are constants with a reason each. The behaviour is the same otherwise.

--- a/crates/daemon/src/control/config_freshness.rs
+++ b/crates/daemon/src/control/config_freshness.rs
@@ -6,14 +6,24 @@
 //! old their last such answer is, so that one call of one daemon is enough for the whole fleet. A
 //! daemon that no answer reaches in time asks the store by itself.
 
-use std::ops::Range;
 use std::time::Duration;
 
-/// Age of the last confirmation at which any daemon has asked the store. It leaves 0.8 s of the 2 s
+/// Age of the last confirmation at which every daemon has asked the store. It leaves 0.8 s of the 2 s
 /// in which a change must be in force, the shortest time that users have stated, for the call and for
 /// the transfer.
 pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_200);
 
+/// Age at which the first member asks the store. The calls of one daemon are the only ones of a calm
+/// fleet, whatever its size.
+const FIRST_CHECK_AGE: Duration = Duration::from_millis(700);
+
+/// Age from which the other watchers ask the store. It leaves 0.2 s for the answer to the first member
+/// and for its dissemination.
+const WATCHER_CHECK_AGE: Duration = Duration::from_millis(900);
+
+/// Age from which all other daemons ask the store.
+const OTHER_CHECK_AGE: Duration = Duration::from_millis(1_050);
+
 /// Which daemons ask the store before others do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckRole {
@@ -29,12 +39,12 @@
     /// Returns the age of the last confirmation at which a daemon asks the store. `spread` in `0..1`
     /// is random, so that the answer to one daemon usually comes before the next one asks.
     pub fn max_age(self, spread: f64) -> Duration {
-        let Range { start, end } = match self {
-            Self::First => Duration::from_millis(700)..Duration::from_millis(700),
-            Self::Watcher => Duration::from_millis(900)..Duration::from_millis(1_050),
-            Self::Other => Duration::from_millis(1_050)..MAX_CONFIRMATION_AGE,
+        let (earliest, latest) = match self {
+            Self::First => (FIRST_CHECK_AGE, FIRST_CHECK_AGE),
+            Self::Watcher => (WATCHER_CHECK_AGE, OTHER_CHECK_AGE),
+            Self::Other => (OTHER_CHECK_AGE, MAX_CONFIRMATION_AGE),
         };
-        start + (end - start).mul_f64(spread)
+        earliest + (latest - earliest).mul_f64(spread)
     }
 }
 
--- a/crates/daemon/src/control/config_watch.rs
+++ b/crates/daemon/src/control/config_watch.rs
@@ -5,7 +5,6 @@
 //! short intervals and disseminates the answer. Every daemon that no such answer reaches asks the
 //! store by itself: first the other watchers, then the rest of the fleet.
 
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
@@ -48,7 +47,7 @@
                 () = self.follow_config(&mut watch, &platform) => {}
                 () = self.find_newer_config(&mut check, &platform), if watch.is_positioned() => {
                     log::warn!(revision = self.config.revision();
-                        "a check found a configuration of which the watch did not tell, restarting it");
+                        "a check found a newer configuration than the watch, restarting the watch");
                     watch = KeyWatch::new(key);
                 }
             }
@@ -176,11 +175,10 @@
 
     /// Tells all daemons that the store has just confirmed the configuration of this one.
     fn disseminate_confirmation(self: &Arc<Self>) {
-        let sequence = self.confirmation_sequence.fetch_add(1, Ordering::Relaxed) + 1;
         self.disseminate(Update {
             origin: self.session(),
             confirmation: Some(ConfigConfirmation {
-                sequence,
+                confirmed_ms: self.node.clock.now().as_millis() as u64,
                 revision: self.config.revision(),
                 proof: self.config_proof(),
             }),
--- a/crates/daemon/src/control/dissemination.rs
+++ b/crates/daemon/src/control/dissemination.rs
@@ -81,7 +81,7 @@
             return;
         };
         let is_newer = match &update.confirmation {
-            Some(confirmation) => self.mark_confirmation(origin, confirmation.sequence),
+            Some(confirmation) => self.mark_confirmation(origin, confirmation.confirmed_ms),
             None => self.mark_disseminated(&update),
         };
         if is_newer {
@@ -91,15 +91,15 @@
 
     /// Records a confirmation as forwarded. Returns whether it is newer than those of the same origin
     /// before.
-    fn mark_confirmation(&self, origin: SessionId, sequence: u64) -> bool {
+    fn mark_confirmation(&self, origin: SessionId, confirmed_ms: u64) -> bool {
         let forwarded = &mut *self.forwarded_confirmations.lock().unwrap();
         if !forwarded.contains_key(&origin) {
             let table = self.node.table.borrow();
             forwarded.retain(|session, _| table.session(*session).is_some());
         }
-        let newest = forwarded.entry(origin).or_default();
-        let is_newer = *newest < sequence;
-        *newest = sequence.max(*newest);
+        let newest_ms = forwarded.entry(origin).or_default();
+        let is_newer = *newest_ms < confirmed_ms;
+        *newest_ms = confirmed_ms.max(*newest_ms);
         is_newer
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -52,7 +52,7 @@
 pub mod watcher;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::sync::{Arc, Mutex};
 
 use masticdeal_ownership::change::Delta;
@@ -98,9 +98,7 @@
     move_reasons: Mutex<MoveReasons>,
     /// When this daemon last knew that its configuration was the newest.
     config_freshness: Mutex<ConfigFreshness>,
-    /// Number of confirmations of the configuration that this daemon has disseminated.
-    confirmation_sequence: AtomicU64,
-    /// Newest confirmation that this daemon has forwarded, by the origin.
+    /// Time of the newest confirmation that this daemon has forwarded, by the origin.
     forwarded_confirmations: Mutex<BTreeMap<SessionId, u64>>,
     /// Sessions from which updates are being pulled.
     pulls: Mutex<BTreeSet<SessionId>>,
@@ -151,7 +149,6 @@
             swap_delta: Mutex::default(),
             move_reasons: Mutex::default(),
             config_freshness: Mutex::default(),
-            confirmation_sequence: AtomicU64::new(0),
             forwarded_confirmations: Mutex::default(),
             pulls: Mutex::default(),
             disseminated: Mutex::default(),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -115,8 +115,9 @@
 /// Answer of the platform store that a configuration is the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigConfirmation {
-    /// Number of the confirmation among those of the origin.
-    pub sequence: u64,
+    /// Time of the confirmation by the origin's clock, in milliseconds. Only compared with that of
+    /// other confirmations of the same origin.
+    pub confirmed_ms: u64,
     /// Revision of the configuration.
     pub revision: u64,
     /// What the origin knows about it.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -113,7 +113,7 @@
         }),
         config: Some(config_update(&"[rules]\n".repeat(50))),
         confirmation: Some(ConfigConfirmation {
-            sequence: 3,
+            confirmed_ms: 3,
             revision: 9,
             proof: CONFIG_PROOF,
         }),
