--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod proxy;
+mod replaced_worker;
 mod requester;
 mod store;
 mod util;
@@ -38,6 +39,7 @@
     let name = name.clone();
     let run = std::panic::catch_unwind(move || match name.as_str() {
         "body-silence" => body_silence::run(&dir, trouble),
+        "replaced-worker" => replaced_worker::run(&dir, trouble),
         "drain-window" => drain_window::run(&dir, trouble),
         _ => Verdict::CouldNotRun,
     });
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -1,7 +1,7 @@
 //! An application worker, as PROTOCOL.md describes it.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
@@ -45,6 +45,8 @@
     waiting: usize,
     arrivals: Vec<Arrival>,
     has_ended: bool,
+    /// Open connections, which close when the worker ends.
+    connections: Vec<TcpStream>,
 }
 
 #[derive(Clone)]
@@ -64,6 +66,11 @@
 impl Worker {
     /// Starts a worker beside a daemon, and its status reports.
     pub fn start(daemon: &crate::daemon::Daemon, work: Work) -> Worker {
+        Self::start_late(daemon, work, Duration::ZERO)
+    }
+
+    /// As [`Worker::start`], with reports that arrive `lateness` after they were sent.
+    pub fn start_late(daemon: &crate::daemon::Daemon, work: Work, lateness: Duration) -> Worker {
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let worker = Worker {
@@ -83,28 +90,30 @@
                     waiting: 0,
                     arrivals: Vec::new(),
                     has_ended: false,
+                    connections: Vec::new(),
                 }),
                 Condvar::new(),
             )),
         };
         let listener = TcpListener::bind(daemon.app).unwrap();
+        listener.set_nonblocking(true).unwrap();
         let served = worker.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if served.has_ended() {
-                    return;
+            while !served.has_ended() {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let worker = served.clone();
+                        std::thread::spawn(move || worker.serve(stream));
+                    }
+                    Err(_) => sleep_ms(1),
                 }
-                let worker = served.clone();
-                std::thread::spawn(move || worker.serve(stream));
             }
         });
         let reporting = worker.clone();
         std::thread::spawn(move || {
-            loop {
-                if reporting.has_ended() {
-                    return;
-                }
-                reporting.report();
+            while !reporting.has_ended() {
+                reporting.report_late(lateness);
                 std::thread::sleep(Duration::from_secs_f64(HEARTBEAT));
             }
         });
@@ -113,11 +122,28 @@
 
     /// Sends a status report. Returns whether it was acknowledged.
     pub fn report(&self) -> bool {
-        let (state, sequence) = {
-            let mut shared = self.state.0.lock().unwrap();
-            shared.sequence += 1;
-            (shared.state, shared.sequence)
-        };
+        let (state, body) = self.next_report();
+        self.deliver(state, &body)
+    }
+
+    /// Sends a status report that arrives late. It arrives also if the worker has ended by then.
+    fn report_late(&self, lateness: Duration) {
+        if lateness.is_zero() {
+            self.report();
+            return;
+        }
+        let (state, body) = self.next_report();
+        let worker = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(lateness);
+            worker.deliver(state, &body);
+        });
+    }
+
+    fn next_report(&self) -> (&'static str, String) {
+        let mut shared = self.state.0.lock().unwrap();
+        shared.sequence += 1;
+        let (state, sequence) = (shared.state, shared.sequence);
         let Self {
             service,
             zone,
@@ -129,6 +155,10 @@
         let body = format!(
             r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":{slots}}},"status":{{"state":"{state}","sequence":{sequence},"cold-remaining-s":0}}}}"#
         );
+        (state, body)
+    }
+
+    fn deliver(&self, state: &str, body: &str) -> bool {
         let line = format!("POST /masticdeal/instances/{}/heartbeat HTTP/1.1", self.id);
         let headers = [("Host", "control"), ("Content-Type", "application/json")];
         let limit = Duration::from_secs(1);
@@ -156,7 +186,12 @@
 
     /// Ends the worker: its connections close, and it accepts no others.
     pub fn end(&self) {
-        self.state.0.lock().unwrap().has_ended = true;
+        let mut shared = self.state.0.lock().unwrap();
+        shared.has_ended = true;
+        for connection in shared.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        drop(shared);
         record(&format!("worker {} ends", self.id));
     }
 
@@ -180,6 +215,8 @@
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().ok()?;
+        let connection = stream.try_clone().ok()?;
+        self.state.0.lock().unwrap().connections.push(connection);
         let mut reader = BufReader::new(stream);
         loop {
             let head = http::read_head(&mut reader).ok()??;
