--- a/review/standins-2/replaced_worker.rs
+++ b/review/standins-2/replaced_worker.rs
@@ -13,7 +13,7 @@
 use crate::util::{now, record, sleep_ms, sleep_until};
 use crate::worker::{Work, Worker};
 
-/// Requests per second; the five workers run 500 of them.
+/// Requests per second; the eight workers run 800 of them.
 const RATE: u64 = 200;
 
 /// Length of the load.
@@ -39,9 +39,12 @@
     let places = [
         ("a-1", "a"),
         ("a-2", "a"),
+        ("a-3", "a"),
         ("b-1", "b"),
         ("b-2", "b"),
+        ("b-3", "b"),
         ("c-1", "c"),
+        ("c-2", "c"),
     ];
     let mut daemons: Vec<Daemon> = places
         .into_iter()
@@ -100,10 +103,10 @@
     });
     sleep_until(begin + Duration::from_secs(11));
     if trouble {
-        workers[4].end();
+        workers[7].end();
         thread::sleep(DOWN);
         workers.push(Worker::start_late(&daemons[0], work, LATENESS));
-        record(&format!("worker {} starts at its address", workers[5].id));
+        record(&format!("worker {} starts at its address", workers[8].id));
     }
     load.join().unwrap();
     judge(&workers, &seen.lock().unwrap())
@@ -159,7 +162,7 @@
         most = most.max((repeated, sent));
     }
     record(&format!(
-        "{} repeated arrivals; most in a window of {window:?}: {}, with {} requests, so {} are allowed",
+        "{} repeated arrivals; most in a window of {window:?}: {}, with {} requests, so {:.0} are allowed",
         repeats.len(),
         most.0,
         most.1,
