--- a/review/standins-2/daemon.rs
+++ b/review/standins-2/daemon.rs
@@ -179,10 +179,6 @@
         );
         response.is_ok_and(|(head, _)| head.status() == 200)
     }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Daemon {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod body_silence;
 mod daemon;
 mod drain_window;
+mod earlier_life;
 mod http;
 mod json;
 mod proxy;
@@ -40,6 +41,7 @@
     let run = std::panic::catch_unwind(move || match name.as_str() {
         "body-silence" => body_silence::run(&dir, trouble),
         "replaced-worker" => replaced_worker::run(&dir, trouble),
+        "earlier-life" => earlier_life::run(&dir, trouble),
         "drain-window" => drain_window::run(&dir, trouble),
         _ => Verdict::CouldNotRun,
     });
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -45,6 +45,8 @@
     waiting: usize,
     arrivals: Vec<Arrival>,
     has_ended: bool,
+    /// Whether it has sent `deregister`, after which it sends no more reports.
+    has_left: bool,
     /// Open connections, which close when the worker ends.
     connections: Vec<TcpStream>,
 }
@@ -71,10 +73,20 @@
 
     /// As [`Worker::start`], with reports that arrive `lateness` after they were sent.
     pub fn start_late(daemon: &crate::daemon::Daemon, work: Work, lateness: Duration) -> Worker {
+        Self::start_as(None, daemon, work, lateness)
+    }
+
+    /// As [`Worker::start_late`], under the id of an earlier boot if one is given.
+    pub fn start_as(
+        id: Option<&str>,
+        daemon: &crate::daemon::Daemon,
+        work: Work,
+        lateness: Duration,
+    ) -> Worker {
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let worker = Worker {
-            id: format!("i-{number:08x}"),
+            id: id.map_or_else(|| format!("i-{number:08x}"), str::to_owned),
             service: daemon.site.service.clone(),
             zone: daemon.site.zone.clone(),
             address: daemon.app,
@@ -90,6 +102,7 @@
                     waiting: 0,
                     arrivals: Vec::new(),
                     has_ended: false,
+                    has_left: false,
                     connections: Vec::new(),
                 }),
                 Condvar::new(),
@@ -112,7 +125,7 @@
         });
         let reporting = worker.clone();
         std::thread::spawn(move || {
-            while !reporting.has_ended() {
+            while !reporting.is_silent() {
                 reporting.report_late(lateness);
                 std::thread::sleep(Duration::from_secs_f64(HEARTBEAT));
             }
@@ -136,7 +149,11 @@
         let worker = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(lateness);
-            worker.deliver(state, &body);
+            let acked = worker.deliver(state, &body);
+            record(&format!(
+                "a late report of worker {}, born {}, arrives; acknowledged: {acked}",
+                worker.id, worker.born
+            ));
         });
     }
 
@@ -195,6 +212,37 @@
         record(&format!("worker {} ends", self.id));
     }
 
+    /// Sends a status report that arrives after `lateness`, whatever happens to the worker meanwhile.
+    pub fn hold_up_report(&self, lateness: Duration) {
+        record(&format!(
+            "a report of worker {} is held up for {lateness:?}",
+            self.id
+        ));
+        self.report_late(lateness);
+    }
+
+    /// Sends `deregister` until it is acknowledged, and returns when it was. The worker serves on.
+    pub fn deregister(&self) -> Option<Duration> {
+        self.state.0.lock().unwrap().has_left = true;
+        let line = format!("POST /masticdeal/instances/{}/deregister HTTP/1.1", self.id);
+        let headers = [("Host", "control"), ("Content-Type", "application/json")];
+        let body = format!(r#"{{"born":{}}}"#, self.born);
+        for _ in 0..4 {
+            let limit = Duration::from_secs(1);
+            let response = http::call(self.control, &line, &headers, body.as_bytes(), limit);
+            if response.is_ok_and(|(head, _)| (200..300).contains(&head.status())) {
+                record(&format!("worker {} has the ack of `deregister`", self.id));
+                return Some(now());
+            }
+        }
+        None
+    }
+
+    fn is_silent(&self) -> bool {
+        let shared = self.state.0.lock().unwrap();
+        shared.has_ended || shared.has_left
+    }
+
     fn has_ended(&self) -> bool {
         self.state.0.lock().unwrap().has_ended
     }
