Show that a GET loses a body that is sent in chunks

A worker runs a GET without the body that its requester sent in chunks (UNASKED), at its own machine and over a hop.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, 0 if it held, and 2 if the scenario could not run.
 
 mod body_silence;
+mod chunked_body;
 mod daemon;
 mod drain_window;
 mod earlier_life;
@@ -40,6 +41,7 @@
     let name = name.clone();
     let run = std::panic::catch_unwind(move || match name.as_str() {
         "body-silence" => body_silence::run(&dir, trouble),
+        "chunked-body" => chunked_body::run(&dir, trouble),
         "replaced-worker" => replaced_worker::run(&dir, trouble),
         "earlier-life" => earlier_life::run(&dir, trouble),
         "drain-window" => drain_window::run(&dir, trouble),
